Call the quota counter from the real gateway, so that a quota is one over all of them

The real gateway dropped the settings' counter, so every bucket fell back on its even slice of the quota. Customers whose requests came mostly through one gateway were refused with half of their quota unused.

--- a/badgerspindle/net/config.py
+++ b/badgerspindle/net/config.py
@@ -39,6 +39,8 @@
     kinds: tuple[str, ...]
     connect_timeout: int
     connection_idle: int
+    counter: Address | None
+    counter_timeout: int
 
 
 def flatten(value: Any, path: str = "") -> Iterator[str]:
@@ -86,7 +88,7 @@
     return tuple(str(item.get("name")).encode() for item in _part(settings, key, list, "settings."))
 
 
-LIVE = frozenset({"discovery", "seed", "known"})  # moved while running, or of use at a start alone
+LIVE = frozenset({"counter", "discovery", "seed", "known"})  # moved while running, or of use at a start alone
 
 
 def needs_restart(old: Config, new: Config) -> list[str]:
@@ -131,7 +133,8 @@
         raise ConfigError("seed or limits: not a number") from None
     peers = tuple(address(peer, "peers") for peer in raw.get("peers") or [])
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
-    known = raw.get("known")
+    known, family = raw.get("known"), _part(nested, "familyInfo", dict, "settings.")
+    counter = address(raw["counter"], "counter") if settings.counter and raw.get("counter") else None
     return Config(
         name=environment.get("ROUTER_NAME") or str(raw.get("name", "gateway")),
         listen=address(environment.get("ROUTER_LISTEN") or raw.get("listen"), "listen"),
@@ -143,12 +146,18 @@
         peers=peers,
         peers_all=address(peers_all, "peers_all") if peers_all else None,
         known=known if isinstance(known, dict) else None,
-        # There is no counter on real sockets: without one the module goes by its even slices.
-        settings=replace(settings, counter=False, may_message=settings.may_message and bool(peer_listen)),
+        # Without a counter's address the module goes by its even slices.
+        settings=replace(
+            settings, counter=counter is not None, may_message=settings.may_message and bool(peer_listen)
+        ),
         classes=_name_keys(nested, "classes"),
         plans=_name_keys(nested, "packages"),
         zones=_names(nested, "zones"),
         kinds=_names(nested, "kinds"),
         connect_timeout=int(_part(limits, "connectTimeout", (int, float), "settings.limits.")),
         connection_idle=int(_part(limits, "connIdle", (int, float), "settings.limits.")),
+        counter=counter,
+        counter_timeout=int(
+            _part(family, "counterTimeout", (int, float), "settings.familyInfo.") if counter else 0
+        ),
     )
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -9,11 +9,13 @@
 
 from ..interface import (
     Action,
+    AddToCounter,
     Arrival,
     AttemptEnded,
     Cancel,
     ClientLeft,
     CloseIdle,
+    Counted,
     Event,
     Fail,
     Health,
@@ -35,6 +37,7 @@
 from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
 from .clients import BadCall, Call, Clients, Slot
 from .config import Config, needs_restart
+from .counter import Counter as QuotaCounter
 from .discovery import Discovery, ListError, Update, parse_update
 from .peers import Peers
 
@@ -78,6 +81,7 @@
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
         self._told = asyncio.Event()
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
+        self._counts: Counter[Outcome] = Counter()  # likewise calls to the quota counter
         self._teller: asyncio.TimerHandle | None = None
         spare = max(16, config.sockets - RESERVED)
         settings = config.settings
@@ -87,6 +91,9 @@
         )
         self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
+        self.counter = None if config.counter is None else QuotaCounter(
+            config.counter, config.counter_timeout / SECOND, config.connect_timeout / SECOND, self.counted
+        )
         index = None
         if config.known is not None:
             try:
@@ -104,6 +111,8 @@
         if self.config.peer_listen is not None and self.config.settings.may_message:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.discovery.start()
+        if self.counter is not None:
+            self.counter.start()
         self._teller = self._loop.call_later(TALLY, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
@@ -117,10 +126,12 @@
     def _tally(self) -> None:
         """One line for the operators, which shows trouble that no single attempt does."""
         ends = ", ".join(f"{outcome.name} {n}" for outcome, n in sorted(self._ends.items()))
-        log.info("attempts: %s; requests %d, connections of clients %d, to backends %d, of these idle %d",
-                 ends or "none", len(self._requests), self.clients.count(), self.backends.open,
+        counts = ", ".join(f"{outcome.name} {n}" for outcome, n in sorted(self._counts.items()))
+        log.info("attempts: %s; counter: %s; requests %d, connections of clients %d, to backends %d, "
+                 "of these idle %d", ends or "none", counts or "none", len(self._requests), self.clients.count(), self.backends.open,
                  self.backends.idle())
         self._ends.clear()
+        self._counts.clear()
         self._teller = self._loop.call_later(TALLY, self._tally)
 
     async def stop(self) -> None:
@@ -137,15 +148,19 @@
             # now lean, would hold this gateway's slices of the quotas back for one that fell silent.
             await asyncio.sleep(max(0.0, end - self._loop.time()))
         self.peers.close()
+        if self.counter is not None:
+            self.counter.close()
 
     def reconfigure(self, fresh: Config) -> None:
-        """Follow discovery to where it is now; list, requests and connections stay as they are."""
+        """Follow discovery and counter to where they are now; all else stays as it is."""
         changed = needs_restart(self.config, fresh)
         if changed:
             log.warning("configuration: a restart is needed for %s", ", ".join(changed))
         self.discovery.move(fresh.discovery)
+        if self.counter is not None and fresh.counter is not None:
+            self.counter.move(fresh.counter)
 
-    # From the list and the peers.
+    # From the list, the peers and the counter.
 
     def _listed(self, update: Update) -> None:
         self._learn(update)
@@ -166,6 +181,10 @@
     def heard(self, sender: int, data: bytes) -> None:
         self._handle(PeerMessage(sender, data))
 
+    def counted(self, event: Counted) -> None:
+        self._counts[event.outcome] += 1
+        self._handle(event)
+
     # From the clients.
 
     def ready(self) -> bool:
@@ -298,6 +317,8 @@
                 self._loop.call_later(after / SECOND, self._handle, TimerFired(token))
             case Tell(to, data):
                 self.peers.tell(to, data)
+            case AddToCounter(name, lifetime, amount) if self.counter is not None:
+                self.counter.call(name, lifetime, amount)
             case Cancel(number, index):
                 request = self._requests.get(number)
                 if request is not None and (attempt := request.out.get(index)) is not None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -97,8 +97,10 @@
     }
 
 
-def config(agent: int, known: dict[str, Any] | None = None, **changes: Any) -> Config:
-    return parse(raw_config(agent, known, **changes), {})
+def config(
+    agent: int, known: dict[str, Any] | None = None, counter: str | None = None, **changes: Any
+) -> Config:
+    return parse({**raw_config(agent, known, **changes), "counter": counter}, {})
 
 
 class Agent:
@@ -174,8 +176,41 @@
         return await soon(self.commands.get())
 
 
+class Bump:
+    """One call to the counter, for a test to answer."""
+
+    def __init__(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+        self._writer = writer
+        verb, self.name, amount, life = line.split()
+        assert verb == b"bump"
+        self.amount, self.life = float(amount), int(life)
+
+    def answer(self, line: bytes) -> None:
+        self._writer.write(line + b"\r\n")
+
+
+class Tally:
+    """The quota counter: hands every call to the test, and answers pings."""
+
+    def __init__(self, port: int = 0) -> None:
+        self.calls: asyncio.Queue[Bump] = asyncio.Queue()
+        self.connections: list[asyncio.StreamWriter] = []
+        self.port = port
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.append(writer)
+        while line := await reader.readline():
+            if line.strip() == b"ping":
+                writer.write(b"pong\r\n")
+            else:
+                self.calls.put_nowait(Bump(writer, line))
+
+    async def call(self) -> Bump:
+        return await soon(self.calls.get())
+
+
 @asynccontextmanager
-async def listening(served: Agent | Backend) -> AsyncIterator[None]:
+async def listening(served: Agent | Backend | Tally) -> AsyncIterator[None]:
     tasks: set[asyncio.Task[None]] = set()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -189,7 +224,7 @@
         finally:
             tasks.discard(task)
 
-    server = await asyncio.start_server(serve, LOCAL, 0)
+    server = await asyncio.start_server(serve, LOCAL, served.port)
     served.port = server.sockets[0].getsockname()[1]
     try:
         yield
@@ -210,11 +245,11 @@
 
 
 @asynccontextmanager
-async def world(**changes: Any) -> AsyncIterator[World]:
+async def world(counter: str | None = None, **changes: Any) -> AsyncIterator[World]:
     agent, backend = Agent(), Backend()
     async with listening(agent), listening(backend):
         agent.first = listing(1, host("s-1", backend.port))
-        node = Node(config(agent.port, None, **changes))
+        node = Node(config(agent.port, None, counter, **changes))
         await soon(node.start())
         try:
             yield World(node, agent, backend)
@@ -222,6 +257,8 @@
             await node.discovery.close()
             node.backends.close()
             node.peers.close()
+            if node.counter is not None:
+                node.counter.close()
             node.clients.shut()
 
 
