--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -128,8 +128,8 @@
         ends = ", ".join(f"{outcome.name} {n}" for outcome, n in sorted(self._ends.items()))
         counts = ", ".join(f"{outcome.name} {n}" for outcome, n in sorted(self._counts.items()))
         log.info("attempts: %s; counter: %s; requests %d, connections of clients %d, to backends %d, "
-                 "of these idle %d", ends or "none", counts or "none", len(self._requests), self.clients.count(), self.backends.open,
-                 self.backends.idle())
+                 "of these idle %d", ends or "none", counts or "none", len(self._requests),
+                 self.clients.count(), self.backends.open, self.backends.idle())
         self._ends.clear()
         self._counts.clear()
         self._teller = self._loop.call_later(TALLY, self._tally)
