Tell the module the use of a quota that servers' answers carry

Answers hold used=..., the meter's word over all gateways; the real gateway dropped it, so whatever was decided without the counter went by even slices and chance.

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -8,7 +8,7 @@
 import select
 import time
 from bisect import bisect
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 import hiredis
@@ -243,20 +243,28 @@
     return report
 
 
+def _read_all(texts: Iterable[object]) -> Report:
+    """Figures on use and load report together; what is not a text says nothing."""
+    told: Report = {}
+    for text in texts:
+        if isinstance(text, bytes):
+            told.update(read_report(text))
+    return told
+
+
 def read_answer(answer: object) -> Ending:
-    """What a whole answer means: outcome, the value if it was served, the load report.
+    """What a whole answer means: outcome, the value if it was served, figures on use and load report.
 
     Value and framing must be right; a report or figures that can't be read spoil nothing."""
     if isinstance(answer, list) and isinstance(answer[0], bytes):
-        told = answer[2]
-        return Outcome.OK, answer[0], read_report(told) if isinstance(told, bytes) else {}
+        return Outcome.OK, answer[0], _read_all(answer[1:])
     if isinstance(answer, hiredis.ReplyError):
         line = str(answer)
         for words, outcome in (("ERR failed", Outcome.ERROR), ("BUSY", Outcome.FULL)):
             if line == words:
                 return outcome, None, {}
             if line.startswith(words + " "):
-                return outcome, None, read_report(line[len(words) + 1:].encode())
+                return outcome, None, _read_all(line[len(words) + 1:].encode().split(b" "))
     raise Spoilt(f"{answer!r:.80}")
 
 
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -50,6 +50,7 @@
 FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
 TALLY = 10.0  # s between lines on how attempts ended
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
+USED_MOST = 60_000  # percent of a quota in use that the module is told at most
 RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
 BACKEND_PART = 0.5  # of the other descriptors; each request needs one on either side at most
 
@@ -266,8 +267,10 @@
         request.out.pop(attempt.index, None)
         if outcome is Outcome.OK and value is not None and not request.closed:
             self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value))
+        # The module's figure is one more than the percentage; 0 says that none was told.
+        used = 1 + min(USED_MOST, int(report["used"])) if "used" in report else 0
         event = AttemptEnded(
-            number, request.closed, 0, attempt.backend, 0, outcome, elapsed, attempt.index, load
+            number, request.closed, 0, attempt.backend, used, outcome, elapsed, attempt.index, load
         )
         self._handle(event, number)
         self._forget(number, request)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -73,6 +73,10 @@
         (served(b"x" * (64 << 10), None), Outcome.OK, b"x" * (64 << 10), {}),
         (b"-ERR failed\r\n", Outcome.ERROR, None, {}),
         (b"-ERR failed util=0.9,inflight=2\r\n", Outcome.ERROR, None, {"util": 0.9, "inflight": 2.0}),
+        (b"-ERR failed used=37 util=0.9\r\n", Outcome.ERROR, None, {"used": 37.0, "util": 0.9}),
+        (b"*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=4\r\n$-1\r\n", Outcome.OK, b"v",
+         {"used": 37.0, "cost": 4.0}),
+        (b"-BUSY used=0\r\n", Outcome.FULL, None, {"used": 0.0}),
         (b"-BUSY\r\n", Outcome.FULL, None, {}),
         (b"-BUSY util=1\r\n", Outcome.FULL, None, {"util": 1.0}),
         # Good, with what can't be read where no value stands.
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -15,6 +15,7 @@
 )
 
 from badgerspindle.net import clients
+from badgerspindle.net.gateway import USED_MOST
 
 from .fakes import CUSTOMER, World, bulk, call, host, listing, run, served, soon, until, world
 
@@ -100,6 +101,32 @@
     run(test)
 
 
+@pytest.mark.parametrize(("figures", "used"), [
+    (b"$7\r\nused=85\r\n", 86), (b"$6\r\nused=0\r\n", 1), (b"$9\r\nused=1e50\r\n", USED_MOST + 1),
+    (b"$-1\r\n", 0),
+])
+def test_module_is_told_the_use_of_the_quota_that_an_answer_carries(figures: bytes, used: int) -> None:
+    async def test() -> None:
+        async with world() as w:
+            told: list[int] = []
+            handle = w.node.module.handle
+
+            def spy(now: int, event: Event) -> list[Action]:
+                if isinstance(event, AttemptEnded):
+                    told.append(event.used)
+                return handle(now, event)
+
+            w.node.module.handle = spy  # type: ignore[method-assign]
+            client = await w.client()
+            client.send(call())
+            connection, _ = await w.backend.command()
+            connection.send(b"*3\r\n" + bulk(b"v") + figures + b"$-1\r\n")
+            assert await client.next() == b"v"
+            assert told == [used]
+
+    run(test)
+
+
 def test_what_the_module_counts_as_out_agrees_with_the_sockets_and_ends_at_zero() -> None:
     """After good answers, errors, refusals, spoilt answers, resets, clients that leave, and a drain."""
 
