--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -291,9 +291,10 @@
             return 0, None, []
         tag, amount, fix, owed = queue.popleft()
         if event.outcome is not Outcome.OK:
-            # A crowded counter answers nobody: fewer calls from here, and slowly more once it answers.
-            self.pace = max(PACE_LEAST, self.pace * PACE_DOWN)
-            if event.outcome is Outcome.TIMEOUT:
+            if event.outcome is not Outcome.RESET:
+                # A crowded counter answers nobody: fewer calls from here, and slowly more once it answers.
+                self.pace = max(PACE_LEAST, self.pace * PACE_DOWN)
+            if event.outcome in (Outcome.TIMEOUT, Outcome.RESET):
                 account.owed -= self.place(account) * (tag > 0)  # surely added late, and nobody holds it
             else:
                 account.owed += owed + amount * (not tag and not fix)  # known not to have been added
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -131,6 +131,16 @@
     assert max(g.quota.pace for g in front.gateways) < 1.0
 
 
+@pytest.mark.parametrize(("outcome", "slower"), [(Outcome.TIMEOUT, True), (Outcome.FULL, True),
+                                                 (Outcome.RESET, False)])
+def test_answer_lost_on_one_connection_is_no_crowd_at_the_counter(outcome: Outcome, slower: bool) -> None:
+    g = Gateway(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    (call,) = [a for a in g.handle(MS, arrival(1, MS, spread=MANY)) if isinstance(a, AddToCounter)]
+    g.handle(80 * MS, Counted(79 * MS, outcome, call.name, 0.0))
+    assert (g.quota.pace < 1.0) is slower
+
+
 def test_open_attempts_are_limited_over_all_gateways_by_the_counter() -> None:
     front = Front(may_message=False, counter=True, plans=(plan(open_limit=3),))
     for i in range(10):
