Heal wrong words of the counter within a moment, and call nobody calm on the meter alone

A number put right twice, or whose correction got no answer, was told as an empty store; customers were refused until it filled again. Told levels now have a floor, and a doubled correction is taken back with the next answer. A customer counts as calm only while what is seen here stays within its even slice too: a late meter called spikes calm.

--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -226,8 +226,9 @@
         return True
 
     def calm(self, now: int, account: Account) -> bool:
-        """Whether the meter lately said that the customer stays well inside its quota."""
-        return now - account.metered_at < SILENT and account.metered < CALM
+        """Whether the customer stays well inside its quota, by the meter's word and by what was seen here."""
+        new, seen = now - account.metered_at < SILENT, account.seen.rate(now) * account.seen.value
+        return new and account.metered < CALM and seen < CALM * account.plan.rate / max(1, account.slices)
 
     def from_slice(self, now: int, account: Account, units: float) -> bool:
         """While the meter finds the store unpressed, a little of the even slice needs nobody's word."""
@@ -316,6 +317,7 @@
                 self.pace = max(PACE_LEAST, self.pace * PACE_DOWN)
             if event.outcome in (Outcome.TIMEOUT, Outcome.RESET):
                 account.owed -= self.place(account) * (tag > 0)  # surely added late, and nobody holds it
+                account.doubtful += amount * fix
             else:
                 account.untold += untold
                 account.owed += owed + amount * (not tag and not fix)  # known not to have been added
@@ -331,14 +333,18 @@
         room = not plan.rate or level >= min(units, plan.burst / 2)
         granted, calls = room and (not place or out < plan.open_limit), []
         account.open_at, account.others = now, max(0, int(out) - account.open)
+        if account.doubtful:
+            # Nobody told whether another put the number right too: far below an empty store, one did.
+            doubled = surplus < -plan.burst - account.doubtful / 2
+            calls += [self.call(now, account, -account.doubtful)] * doubled
+            account.doubtful = 0.0
         if amount and not granted and (tag or plan.over_worth > plan.over_cost):
             calls.append(self.call(now, account, -amount))
         elif surplus * self.pace > plan.burst * LAG:
             calls.append(self.call(now, account, surplus, 0, True))
-        if amount:
-            self.answered(now, account, level - units * granted - account.untold, granted)
-        else:
-            account.level, account.told_at = level - account.untold, now
+        # A number that is wrong for a moment must not shut the customer out for longer than word is new.
+        least, level = -plan.rate * FRESH / (4 * SECOND), level - units * granted - account.untold
+        self.answered(now, account, max(least, level), granted)
         return tag, granted, calls
 
     def message(self, now: int) -> bytes:
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -77,6 +77,7 @@
     heard: dict[int, int] = field(default_factory=dict)
     others: int = 0  # open attempts elsewhere, as told
     owed: float = 0.0  # to be added to the counter with the next call
+    doubtful: float = 0.0  # what put the counter's number right, with no answer on whether another did so too
     untold: float = 0.0  # units spent from the even slice that the counter has not heard of
     metered_at: int = -(1 << 62)  # when an answer last told of the use of the quota ...
     metered: float = 0.0  # ... and how much of it that was
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -164,6 +164,17 @@
     assert len([a for a in later if isinstance(a, Send)]) == 1 - asked
 
 
+def test_customer_seen_beyond_its_even_slice_is_asked_for_though_a_late_meter_calls_it_calm() -> None:
+    g = counting(rate=2.0, burst=80.0)
+    account = g.quota.account(0, 1, 0, 2, 0)
+    for i in range(30):
+        now = i * SECOND // 10
+        account.metered_at, account.untold = now, 0.0
+        last = calls(g.handle(now, arrival(i, now)))
+        assert i > 0 or not last
+    assert last
+
+
 def test_what_a_calm_customer_uses_in_a_burst_is_asked_for_and_told() -> None:
     g = counting(rate=10.0, burst=40.0)
     g.quota.account(0, 1, 0, 2, 0).metered_at = 0
@@ -181,6 +192,26 @@
     assert calls(g.handle(4 * SECOND, arrival(3, 4 * SECOND)))
 
 
+def test_number_that_is_wrong_for_a_moment_shuts_nobody_out_for_long() -> None:
+    g = counting(rate=1.0, burst=4.0)
+    (call,) = calls(g.handle(MS, arrival(1, MS)))
+    g.handle(2 * MS, Counted(MS, Outcome.OK, call.name, call.amount + 50.0))
+    assert calls(g.handle(2 * SECOND, arrival(2, 2 * SECOND)))
+
+
+def test_lost_answer_on_a_number_put_right_twice_is_made_good_with_the_next() -> None:
+    g = counting(rate=10.0, burst=20.0)
+    start = 30 * SECOND  # into the name's life, so that the number lags far behind
+    (call,) = calls(g.handle(start, arrival(1, start)))
+    (fix,) = calls(g.handle(start + MS, Counted(MS, Outcome.OK, call.name, call.amount)))
+    assert fix.amount > 250.0
+    g.handle(start + 80 * MS, Counted(79 * MS, Outcome.RESET, fix.name, 0.0))
+    (again,) = calls(g.handle(start + SECOND, arrival(2, start + SECOND)))
+    number = 2 * fix.amount + call.amount + again.amount
+    back = calls(g.handle(start + SECOND + MS, Counted(MS, Outcome.OK, again.name, number)))
+    assert -fix.amount in [each.amount for each in back]
+
+
 def test_plan_that_pays_beyond_its_quota_is_not_counted_while_servers_keep_up() -> None:
     g = counting(over_worth=0.5, over_cost=0.0, open_limit=2)
     actions = [g.handle(MS, arrival(i, MS)) for i in range(5)]
