Send a second copy where an answer got lost and the class allows a repeat

Where a server answered what it was sent later, no queue has risen and the retry budget allows it, another server is asked; the first good answer ends all.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -100,6 +100,11 @@
         else:
             self.sends.add(now, 1.0)
 
+    def answered_since(self, backend: int, at: int) -> bool:
+        """Whether a backend answered an attempt that it was sent since then."""
+        server = self.servers.get(backend)
+        return server is not None and server.newest >= at
+
     def ended(self, now: int, event: AttemptEnded, kind: tuple[int, int], relative: float) -> None:
         server = self.servers.get(event.backend)
         if server is None:
@@ -112,7 +117,8 @@
             server.full[kind] = now + LONG
         if event.outcome is Outcome.OK:
             server.fails, server.pause = 0, SUSPEND
-            self.newest = max(self.newest, now - event.elapsed)
+            server.newest = max(server.newest, now - event.elapsed)
+            self.newest = max(self.newest, server.newest)
             server.slow.add(now, min(8.0, relative))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.FULL):
             server.fails += 1
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -14,9 +14,9 @@
 
 from .fleet import Filter, Fleet
 from .interface import (
-    NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, ClientLeft, Counted, Event, Fail, Group, ListKind,
-    LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired, Topology,
-    Watch,
+    NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Cancel, ClientLeft, Counted, Event, Fail, Group,
+    ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired,
+    Topology, Watch,
 )
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
 from .state import LONG, MEMORY, SECOND, Account, Mean, Open
@@ -42,6 +42,7 @@
 SILENCE = 0.05  # part of the attempts unanswered of late from which an attempt gets a time-out
 RETRY_SHARE = 0.1  # further attempts for each first one: keeps a failing fleet from being doubled
 RETRY_BURST = 10.0  # further attempts that may be saved up
+OVERLONG = 6  # mean latencies after which few answers still come: the work of requests varies, too
 LOST = 4.0  # mean latencies by which an open attempt is overtaken before it counts as lost
 PACE_UP, PACE_DOWN, PACE_LEAST = 0.01, 0.7, 0.05  # chance of a call to the counter: steps for an answer, none
 UNTOLD = 0.4  # chance that a place is free where even slices of a limit on open attempts are under one
@@ -445,6 +446,7 @@
         ]
         self.lost = len(self.open) - len(self.held) - len(outstanding)
         self.model.fit(now, self.out - self.lost, outstanding)
+        actions += self._second_copies(now)
         self.fleet.count(now)
         self._evaluate_all(now)
         if self.quota.gossip and now - self.told_at >= self.quota.every - TICK // 2:
@@ -607,14 +609,15 @@
     def _refusal(self, a: Arrival) -> Refuse:
         return Refuse(a.request, min(ADVICE, self.s.max_retry_after) * self.s.retry_advice)
 
-    def _send(self, now: int, request: Open) -> Send | None:
+    def _send(self, now: int, request: Open, elsewhere: bool = False) -> Send | None:
         a = request.arrival
         if now >= a.valid_until or request.sends >= self.s.max_attempts:
             return None
         allowed = self._repeat_filter(now, request)
         kind = a.cls, a.plan
         server = self.fleet.choose(now, kind, request.tried, allowed)
-        server = server or self.fleet.choose(now, kind, set(), allowed)
+        if server is None and not elsewhere:
+            server = self.fleet.choose(now, kind, set(), allowed)
         if server is None:
             return None
         self.fleet.sent(now, server)
@@ -623,6 +626,8 @@
         if not request.may_have_run:
             request.keyed_at, request.keyed_by = now, server.entry
         request.sends, request.out, request.sent_at = request.sends + 1, request.out + 1, now
+        request.usual, request.backend = int(self.model.latency[a.cls].value), server.entry.id
+        request.overlong = max(self.s.classes[a.cls].aim // 2, OVERLONG * request.usual)
         request.account.open, self.out = request.account.open + 1, self.out + 1
         return Send(a.request, server.entry.id, self._patience(now, request))
 
@@ -635,6 +640,25 @@
             return 0
         return max(cls.aim // 2, int(3 * self.model.latency[a.cls].value))
 
+    def _second_copies(self, now: int) -> list[Action]:
+        """Answers get lost one by one too, with no symptom of their server: where it answered what was sent
+        later, no queue explains the wait and the class allows it, another is asked as well."""
+        if self.model.risen:
+            return []
+        actions: list[Action] = []
+        for request in [r for r in self.open.values() if r.out == 1 and now - r.sent_at >= r.overlong]:
+            if self.retries < 1.0 or not self.s.second_copies:
+                break
+            repeatable = self.s.classes[request.arrival.cls].repeat is not Repeat.UNSAFE
+            if repeatable and self.fleet.answered_since(request.backend, request.sent_at + request.usual):
+                ran, request.may_have_run = request.may_have_run, True
+                if send := self._send(now, request, True):
+                    self.retries -= 1.0
+                    actions.append(send)
+                else:
+                    request.may_have_run = ran
+        return actions
+
     def _repeat_filter(self, now: int, request: Open) -> Filter:
         """Rule 2: where another attempt of a keyed request that may have run may go."""
         cls, first = self.s.classes[request.arrival.cls], request.keyed_by
@@ -663,10 +687,14 @@
         self.fleet.ended(now, event, (cls, request.arrival.plan), event.elapsed / usual)
         if event.outcome not in NEVER_RAN:
             request.may_have_run = True
+        others: list[Action] = []
         if event.finished:
             self.open.pop(event.request, None)
+            if request.out and self.s.may_cancel:
+                others = [Cancel(event.request, i) for i in range(request.sends)
+                          if (event.request, i) in self.attempts]
         again = [] if request.out or event.request not in self.open else self._try_again(now, request)
-        return again + self._release(now, request)
+        return others + again + self._release(now, request)
 
     def _try_again(self, now: int, request: Open) -> list[Action]:
         """Another attempt where the class, the time left and the retry budget allow one; else the end."""
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -95,6 +95,7 @@
     out: int = 0
     fails: int = 0
     suspended: int = 0
+    newest: int = 0  # when the newest was sent of the attempts that it answered
     full: dict[tuple[int, int], int] = field(default_factory=dict)  # by class and plan, until when
     met: dict[int, tuple[int, float]] = field(default_factory=dict)  # by class: when, 1 if unanswered
     tokens: float = 0.0
@@ -114,5 +115,8 @@
     keyed_at: int = 0
     keyed_by: Backend | None = None
     sent_at: int = 0
+    backend: int = 0  # of the newest attempt ...
+    usual: int = 0  # ... the mean time that its answer takes ...
+    overlong: int = 0  # ... and that after which it is unlikely to come
     asked_at: int = 0
     placed: bool = False  # counted as out on the counter
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from badgerspindle.interface import (
     NEVER_RAN,
     Action,
+    Cancel,
     ClientLeft,
     Event,
     Fail,
@@ -108,6 +109,44 @@
         g.handle(0, full_list(*(backend(i, cell=c) for i, c in cells.items())))
 
 
+def answered(g: Gateway, cls: int) -> None:
+    """Enough good answers for a usual latency of 100 ms."""
+    for i in range(10):
+        (send,) = sends(g.handle(i * MS, arrival(100 + i, i * MS, cls)))
+        g.handle(i * MS + 100 * MS, ended(100 + i, send.backend))
+
+
+@pytest.mark.parametrize("cls", [SAFE, KEYED])
+def test_answer_that_does_not_come_is_sought_elsewhere_and_the_first_good_one_ends_all(cls: int) -> None:
+    g = gateway()
+    answered(g, cls)
+    (first,) = sends(g.handle(200 * MS, arrival(1, 200 * MS, cls)))
+    assert not sends(g.handle(800 * MS, TimerFired(EVERY_TICK)))  # a server that answers nothing may be slow
+    g.fleet.servers[first.backend].newest = 350 * MS
+    (second,) = sends(g.handle(800 * MS, TimerFired(EVERY_TICK)))
+    assert second.request == 1 and second.backend != first.backend
+    assert not sends(g.handle(900 * MS, TimerFired(EVERY_TICK)))
+    done = g.handle(SECOND, ended(1, second.backend, attempt=1, finished=True))
+    assert done == [Cancel(1, 0)]
+    assert g.handle(SECOND, ended(1, first.backend, Outcome.CANCELLED, finished=True)) == []
+    assert not g.open and not g.attempts and g.out == 0
+
+
+def test_second_copies_have_a_budget_and_none_runs_a_payment_twice() -> None:
+    g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
+    for cls in (SAFE, UNSAFE):
+        answered(g, cls)
+    g.handle(200 * MS, arrival(1000, 200 * MS, UNSAFE))
+    g.handle(200 * MS, arrival(2000, 200 * MS, SAFE))
+    g.handle(200 * MS, arrival(2001, 200 * MS, SAFE))
+    g.retries = 1.0
+    for server in g.fleet.servers.values():
+        server.newest = 350 * MS
+    g.fleet.newest = 750 * MS
+    assert [send.request for send in sends(g.handle(850 * MS, TimerFired(EVERY_TICK)))] == [2000]
+    assert g.retries == 0.0
+
+
 def test_retries_have_a_budget() -> None:
     g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
     extra = 0
