--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from math import ceil, log
 
 from .interface import AttemptEnded, Backend, Health, ListKind, Outcome, Settings, Topology
 from .state import LONG, MEMORY, SECOND, Mean, Server
@@ -15,6 +16,8 @@
 OTHERS = 2.0  # attempts out here that say as much of others' at a backend as the mean over backends does
 SUSPEND, SUSPEND_MOST = SECOND // 2, 8 * SECOND  # first exclusion of a backend with symptoms; doubles up to
 FAILS = 2  # failures in a row that count as a symptom: one may be chance
+CHANCE = 0.005  # ... as more may be where attempts break off everywhere: so unlikely must the row be
+BROKEN_MOST = 0.5  # part of attempts broken off from which longer rows tell no more
 
 
 class Fleet:
@@ -24,6 +27,7 @@
         self.s, self.rng, self.sends = settings, rng, Mean(MEMORY)
         self.servers: dict[int, Server] = {}
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
+        self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
 
     def learn(self, now: int, event: Topology) -> None:
@@ -100,6 +104,16 @@
         else:
             self.sends.add(now, 1.0)
 
+    def _telling(self, now: int, outcome: Outcome) -> int:
+        """Failures in a row that tell something of one backend. Where attempts break off everywhere, some
+        do in a row by chance, and to leave those backends out would crowd the others."""
+        if outcome is Outcome.CONNECT_FAILED:
+            return 1
+        if outcome is Outcome.TIMEOUT:
+            return FAILS
+        usual = min(BROKEN_MOST, max(CHANCE, self.broken.blend(now, 0.0, 3.0)))
+        return max(FAILS, ceil(log(CHANCE) / log(usual)))
+
     def answered_since(self, backend: int, at: int) -> bool:
         """Whether a backend answered an attempt that it was sent since then."""
         server = self.servers.get(backend)
@@ -115,6 +129,8 @@
             self.silence[kind[0]].add(now, server.met[kind[0]][1])
         elif event.outcome is Outcome.FULL:
             server.full[kind] = now + LONG
+        if event.outcome in (Outcome.OK, Outcome.RESET, Outcome.ERROR):
+            self.broken.add(now, float(event.outcome is not Outcome.OK))
         if event.outcome is Outcome.OK:
             server.fails, server.pause = 0, SUSPEND
             server.newest = max(server.newest, now - event.elapsed)
@@ -122,5 +138,5 @@
             server.slow.add(now, min(8.0, relative))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.FULL):
             server.fails += 1
-            if server.fails >= FAILS or event.outcome is Outcome.CONNECT_FAILED:
+            if server.fails >= self._telling(now, event.outcome):
                 server.suspended, server.pause = now + server.pause, min(SUSPEND_MOST, 2 * server.pause)
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -41,6 +41,7 @@
 SILENT = 3 * SECOND  # ... and not at all from here on: their even slices are theirs again
 SILENCE = 0.05  # part of the attempts unanswered of late from which an attempt gets a time-out
 RETRY_SHARE = 0.1  # further attempts for each first one: keeps a failing fleet from being doubled
+RETRY_LEAST = 0.1  # what a further attempt costs of them at least, where the one before broke off at once
 RETRY_BURST = 10.0  # further attempts that may be saved up
 OVERLONG = 6  # mean latencies after which few answers still come: the work of requests varies, too
 LOST = 4.0  # mean latencies by which an open attempt is overtaken before it counts as lost
@@ -695,15 +696,17 @@
             if request.out and self.s.may_cancel:
                 others = [Cancel(event.request, i) for i in range(request.sends)
                           if (event.request, i) in self.attempts]
-        again = [] if request.out or event.request not in self.open else self._try_again(now, request)
+        # An attempt that broke off at once took no server's time, and another for it doubles nothing.
+        cost = max(RETRY_LEAST, min(1.0, event.elapsed / usual))
+        again = [] if request.out or event.request not in self.open else self._try_again(now, request, cost)
         return others + again + self._release(now, request)
 
-    def _try_again(self, now: int, request: Open) -> list[Action]:
+    def _try_again(self, now: int, request: Open, cost: float) -> list[Action]:
         """Another attempt where the class, the time left and the retry budget allow one; else the end."""
         a, cls = request.arrival, self.s.classes[request.arrival.cls]
         repeatable = not request.may_have_run or cls.repeat is not Repeat.UNSAFE
-        if repeatable and self.retries >= 1.0 and (send := self._send(now, request)):
-            self.retries -= 1.0
+        if repeatable and self.retries >= cost and (send := self._send(now, request)):
+            self.retries -= cost
             return [send]
         del self.open[a.request]
         harmless = not request.may_have_run or cls.repeat is Repeat.SAFE
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -156,6 +156,31 @@
     assert refusal.retry_in == wait * MS
 
 
+@pytest.mark.parametrize(("elapsed", "left"), [(MS, 0.9), (50 * MS, 0.5), (100 * MS, 0.0), (SECOND, 0.0)])
+def test_retry_costs_what_the_attempt_before_took_of_a_servers_time(elapsed: int, left: float) -> None:
+    g = gateway()
+    answered(g, SAFE)
+    (send,) = sends(g.handle(SECOND, arrival(1, SECOND)))
+    g.retries = 1.0
+    broken = ended(1, send.backend, Outcome.RESET, elapsed=elapsed)
+    assert len(sends(g.handle(SECOND + elapsed, broken))) == 1
+    assert g.retries == pytest.approx(left, abs=0.02)
+
+
+@pytest.mark.parametrize(("broken", "left_out"), [({1}, {1}), ({1, 2, 3, 4}, set())])
+def test_breaks_tell_of_a_backend_only_where_others_do_not_break_as_well(
+    broken: set[int], left_out: set[int]
+) -> None:
+    fleet = gateway().fleet
+    for i in range(80):
+        for backend_id in range(1, 5):
+            # Everywhere: one in three, two in a row. Of one alone: all.
+            bad = backend_id in broken and (i % 6 in (3, 4) or left_out)
+            outcome = Outcome.RESET if bad else Outcome.OK
+            fleet.ended(i * 100 * MS, ended(i, backend_id, outcome), (SAFE, 0), 1.0)
+    assert {i for i, server in fleet.servers.items() if server.suspended > 0} == left_out
+
+
 def test_retries_have_a_budget() -> None:
     g = gateway(plans=(plan(rate=1000.0, burst=1000.0),))
     extra = 0
