--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -6,6 +6,7 @@
 import fcntl
 import logging
 import re
+import socket
 import struct
 import termios
 from collections import deque
@@ -28,6 +29,7 @@
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
 ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
+FIRST_WORD = 0.5  # s in which whoever connected before the door closed may still say its first word
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
 LOOK = 0.25  # s between looks at all connections for those that have had their time
 MUTE = 2.0  # s without a whole command from connecting on, or from the first byte of one on
@@ -383,6 +385,20 @@
     return text.encode().replace(b"\r", b" ").replace(b"\n", b" ")
 
 
+def passed_socket(descriptor: int) -> socket.socket | None:
+    """The listening socket that the platform holds; None where the descriptor is no such thing."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            sock.setblocking(False)
+            return sock
+        sock.detach()
+        log.error("descriptor %d is no listening socket: binding one of our own", descriptor)
+    except OSError as error:
+        log.error("descriptor %d is no socket (%s): binding one of our own", descriptor, error)
+    return None
+
+
 class Clients:
     """The listening socket and the connections that came through it."""
 
@@ -394,20 +410,24 @@
         self.memory = int(config.memory * BUFFER_PART)  # bytes that all clients' rests may hold
         self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
         self.held = 0  # bytes of all rests
-        self._address = config.listen
+        self._address, self._passed = config.listen, config.passed
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
         self._server: asyncio.Server | None = None
         self._looker: asyncio.TimerHandle | None = None
         self._last_came = 0.0
-        self.closing = False
+        self.closing = self._stopping = False
         # Every request has ended by then; only half a command can hold a connection open for longer.
         self._longest = max(c.deadline for c in config.settings.classes) / SECOND + QUIET
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Client(self), *self._address, backlog=1024)
+        if self._passed is not None and (sock := passed_socket(self._passed)) is not None:
+            self._server = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
+        else:
+            self._passed = None
+            self._server = await loop.create_server(lambda: Client(self), *self._address, backlog=1024)
         self._looker = self._later(LOOK, self._look)
 
     def _look(self) -> None:
@@ -448,11 +468,16 @@
         self._fresh.pop(client, None)
         self._clients.pop(client, None)
 
+    def taking(self) -> bool:
+        """Whether clients that connect are taken in."""
+        return self._server is not None and not self._stopping and not self.closing
+
     async def drain(self) -> None:
-        """Take what comes until new connections cease, answer all of it, close what rests."""
-        loop = asyncio.get_running_loop()
+        """Take what comes until new connections cease, answer all of it, close what rests. Where the
+        platform holds the listening socket, what is not accepted yet is the next process's."""
+        self._stopping, loop = True, asyncio.get_running_loop()
         self._last_came = loop.time()
-        latest = self._last_came + DOOR_MOST
+        latest = self._last_came + (DOOR_MOST if self._passed is None else 0.0)
         while (left := min(latest, self._last_came + QUIET) - loop.time()) > 0:
             await asyncio.sleep(left)
             # A loop that lagged wakes with its timer due and connections still in the accept queue: look
@@ -462,8 +487,10 @@
         self.closing = True
         end = loop.time() + self._longest
         while self.count() and loop.time() < end:
-            for client in [c for c in [*self._fresh, *self._clients] if c.resting()]:
-                client.close()
+            silent = loop.time() - FIRST_WORD
+            for client in [*self._fresh, *self._clients]:
+                if (client.said or client.seen < silent) and client.resting():
+                    client.close()
             await asyncio.sleep(IDLE_LOOK)
         self.shut()
 
--- a/badgerspindle/net/config.py
+++ b/badgerspindle/net/config.py
@@ -41,6 +41,9 @@
     connection_idle: int
     counter: Address | None
     counter_timeout: int
+    operator: Address | None  # where the operators call; None keeps their door shut
+    passed: int | None  # the descriptor of the clients' listening socket, where the platform holds it
+    folder: str | None  # shared with the process before and the one after this
 
 
 def flatten(value: Any, path: str = "") -> Iterator[str]:
@@ -135,6 +138,11 @@
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
     known, family = raw.get("known"), _part(nested, "familyInfo", dict, "settings.")
     counter = address(raw["counter"], "counter") if settings.counter and raw.get("counter") else None
+    operator, passed = environment.get("ROUTER_OPERATOR") or raw.get("operator"), None
+    if text := environment.get("ROUTER_PASSED_SOCKET"):
+        if not (text.isascii() and text.isdigit() and len(text) < 6):
+            raise ConfigError(f"ROUTER_PASSED_SOCKET: {text!r} is no descriptor")
+        passed = int(text)
     return Config(
         name=environment.get("ROUTER_NAME") or str(raw.get("name", "gateway")),
         listen=address(environment.get("ROUTER_LISTEN") or raw.get("listen"), "listen"),
@@ -160,4 +168,7 @@
         counter_timeout=int(
             _part(family, "counterTimeout", (int, float), "settings.familyInfo.") if counter else 0
         ),
+        operator=address(operator, "operator") if operator else None,
+        passed=passed,
+        folder=environment.get("TMPDIR") or None,
     )
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -42,7 +43,83 @@
 
 
 @asynccontextmanager
-async def running(folder: Path) -> AsyncIterator[Process]:
+async def passing() -> AsyncIterator[socket.socket]:
+    """A listening socket as the platform holds it."""
+    with socket.create_server((LOCAL, 0)) as sock:
+        sock.set_inheritable(True)
+        yield sock
+
+
+@asynccontextmanager
+async def serving(
+    folder: Path, agent: Agent, backend: Backend, sock: socket.socket
+) -> AsyncIterator[Process]:
+    """A gateway on a listening socket that the platform holds."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw_config(agent.port)))
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, stderr=asyncio.subprocess.PIPE, pass_fds=(sock.fileno(),),
+        env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_PASSED_SOCKET": str(sock.fileno()),
+             "ROUTER_OPERATOR": f"{LOCAL}:0", "TMPDIR": str(folder)},
+    )
+    try:
+        made = Process(process, sock.getsockname()[1], backend, path)
+        await made.logged(b"listening on")
+        yield made
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+def test_upgrade_on_the_platforms_socket_answers_all_and_leaves_the_rest_to_the_new(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent, backend = Agent(), Backend()
+        async with listening(agent), listening(backend), passing() as sock:
+            agent.first = listing(1, host("s-1", backend.port))
+            async with serving(tmp_path, agent, backend, sock) as old:
+                taken, idle = await old.client(), await old.client()
+                idle.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await idle.next() == b"PONG"
+                taken.send(call(number=1))
+                first, _ = await backend.command()
+                async with serving(tmp_path, agent, backend, sock) as new:
+                    old.process.send_signal(signal.SIGTERM)
+                    await old.logged(b"stopping")
+                    assert await idle.next() is None
+                    for number in range(2, 12):  # the old accepts no more
+                        client = await new.client()
+                        client.send(call(number=number))
+                        connection, words = await backend.command()
+                        assert words[2] == b"%016x" % number
+                        connection.send(served(b"new"))
+                        assert await client.next() == b"new"
+                    assert old.process.returncode is None
+                    first.send(served(b"old"))
+                    assert await taken.next() == b"old" and await taken.next() is None
+                    assert await soon(old.process.wait()) == 0
+                    client = await new.client()
+                    client.send(call(number=20))
+                    connection, _ = await backend.command()
+                    connection.send(served(b"still"))
+                    assert await client.next() == b"still"
+
+    run(test)
+
+
+@pytest.mark.parametrize("descriptor", ["0", "999"])
+def test_descriptor_that_is_no_listening_socket_is_passed_over(tmp_path: Path, descriptor: str) -> None:
+    async def test() -> None:
+        async with running(tmp_path, ROUTER_PASSED_SOCKET=descriptor) as p:
+            client = await p.client()
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next() == b"PONG"
+
+    run(test)
+
+
+@asynccontextmanager
+async def running(folder: Path, **more: str) -> AsyncIterator[Process]:
     agent, backend = Agent(), Backend()
     async with listening(agent), listening(backend):
         agent.first = listing(1, host("s-1", backend.port))
@@ -50,7 +127,8 @@
         path.write_text(json.dumps(raw_config(agent.port)))
         process = await asyncio.create_subprocess_exec(
             *COMMAND, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}"},
+            env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}",
+                 **more},
         )
         try:
             assert process.stderr is not None
