--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -17,6 +17,7 @@
 SUSPEND, SUSPEND_MOST = SECOND // 2, 8 * SECOND  # first exclusion of a backend with symptoms; doubles up to
 FAILS = 2  # failures in a row that count as a symptom: one may be chance
 CHANCE = 0.005  # ... as more may be where attempts break off everywhere: so unlikely must the row be
+LIFTED_EACH, LIFTED_ALL = 0.4, 2.0  # requests a second at least to one that was banned: from here, all
 BROKEN_MOST = 0.5  # part of attempts broken off from which longer rows tell no more
 
 
@@ -26,6 +27,7 @@
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self.s, self.rng, self.sends = settings, rng, Mean(MEMORY)
         self.servers: dict[int, Server] = {}
+        self.banned: set[int] = set()  # by operators; outlasts whatever the list says
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
@@ -41,37 +43,55 @@
             if server is None or server.entry.booted != entry.booted:
                 # A chance part of a token: with many gateways, each seldom has a whole one to spend.
                 fresh = Server(entry, Mean(MEMORY), SUSPEND, tokens=self.rng.random(), tokens_at=now)
-                fresh.out = server.out if server else 0
+                fresh.out, fresh.lifted = (server.out, server.lifted) if server else (0, 0)
                 self.servers[entry.id] = server = fresh
             server.entry, server.usable = entry, entry.health is Health.READY
             server.listed = entry.health is not Health.GONE
         self.count(now)
 
+    def leave_out(self, now: int, backend: int, out: bool) -> None:
+        """Nothing goes to a banned backend. Afterwards it counts as started just now, since the list may tell
+        late that it was, and what it did before says nothing of it any more."""
+        if out:
+            self.banned.add(backend)
+        elif backend in self.banned:
+            self.banned.remove(backend)
+            if server := self.servers.get(backend):
+                fresh = Server(server.entry, Mean(MEMORY), SUSPEND, server.usable, server.listed, server.out)
+                fresh.tokens, fresh.tokens_at, fresh.lifted = self.rng.random(), now, now
+                self.servers[backend] = fresh
+        self.count(now)
+
+    def skipped(self, now: int) -> int:
+        """Listed backends that get nothing now, by an operator's word or for their symptoms."""
+        return sum(s.listed and (i in self.banned or now < s.suspended) for i, s in self.servers.items())
+
     def count(self, now: int) -> None:
         # Backends come and go under ever new ids: who is off the list and holds nothing of ours is forgotten,
         # or memory and the choice's work would grow with all that ever were.
         for gone in [i for i, s in self.servers.items() if not s.listed and not s.out]:
             del self.servers[gone]
-        usable = [s for s in self.servers.values() if s.usable]
+        usable = [s for s in self.servers.values() if s.usable and s.entry.id not in self.banned]
         self.warm = sum(self.warmth(now, s) >= 1.0 for s in usable)
         self.usual = sum(s.out for s in usable) / max(1, len(usable))
 
     def warmth(self, now: int, server: Server) -> float:
         """Part of its capacity that a backend surely has; 1 once warm."""
-        booted, start = server.entry.booted, self.s.start_capacity
+        booted, start = max(server.entry.booted, server.lifted), self.s.start_capacity
         if not booted or now - booted >= self.s.warm_up:
             return 1.0
         return start + (1.0 - start) * max(0, now - booted) / self.s.warm_up
 
     def ready(self, now: int, server: Server) -> bool:
-        if not server.usable or now < server.suspended:
+        if not server.usable or now < server.suspended or server.entry.id in self.banned:
             return False
         warmth = self.warmth(now, server)
         if warmth >= 1.0:
             return True
         # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here.
         each, span = self.sends.rate(now) / max(1, self.warm), (now - server.tokens_at) / SECOND
-        server.tokens = min(2.0, server.tokens + warmth * each * span)
+        least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.lifted > 0)
+        server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span)
         server.tokens_at = now
         return server.tokens >= 1.0
 
--- a/badgerspindle/interface.py
+++ b/badgerspindle/interface.py
@@ -225,8 +225,17 @@
     total: float
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveOut:
+    """An operator's word: send a backend nothing (`out`), whatever the list says, or use it again."""
+
+    backend: int
+    out: bool
+
+
 Event = (
-    Topology | Arrival | Begun | AttemptEnded | ClientLeft | TimerFired | Probed | PeerMessage | Counted
+    LeaveOut | Topology | Arrival | Begun | AttemptEnded | ClientLeft | TimerFired | Probed | PeerMessage
+    | Counted
 )
 
 
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -2,40 +2,34 @@
 
 Read `interface.py` first, for types, events and actions. The mechanism is a QoS broker's: a table of
 commitments, a closed queuing model and seven cases that grant each customer a cap on requests in flight.
-`docs/design.md` says what was kept of the paper, what was changed and when each exception acts.
 """
 
 from __future__ import annotations
 
 import random
 from collections import deque
-from collections.abc import Callable
 from math import ceil
 
 from .fleet import Filter, Fleet
 from .interface import (
     NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Cancel, ClientLeft, Counted, Event, Fail, Group,
-    ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell, TimerFired,
-    Topology, Watch,
+    LeaveOut, ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell,
+    TimerFired, Topology, Watch,
 )
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
+from .model import TARGET, QueueModel, seven_cases
+from .model import TICK as TICK
 from .state import LONG, MEMORY, SECOND, Account, Mean, Open
 
-Goal = Callable[[int], bool]
 Word = tuple[int, bool | None, list[Action]]  # number of the ask answered, the answer, what to send
 
 # Tuned values: unit and reason behind each; times are chosen against aims of the order of a second.
-TICK = SECOND // 10  # the module's own beat: refits the model, tells peers; a tenth of usual aims
 EVALUATE_EVERY = 2 * SECOND  # a commitment's cap is looked at anew; long enough for a fit, short for a burst
 IDLE = 10 * SECOND  # a commitment without requests ends; outlasts the lulls of a steady customer
 FORGET = 120 * SECOND  # an idle customer's bucket is dropped, long since full: memory must not grow for ever
 FORGET_ONCE = 20 * SECOND  # the same for one that hardly came: most such never come again
 ONCE = 8  # quarter units sent on up to which a customer hardly came
 OVERTAKEN = 50  # tenths of a second by which word of a peer may be overtaken by newer word on its way
-SAMPLES = 8.0  # answers that a class's recent latency rests on; where few come, memory is longer for it
-DELAY_GROWTH = 0.01  # part a second by which a shortest latency is forgotten upwards
-RISE = 0.15  # part of the room between delay and aim from which a wait is a rise; below it is noise
-TARGET = 0.4  # part of the room between delay and aim that the mean wait may take: latencies vary
 CHEAPEST = 0.7  # part of the model's in-flight limit that the least worth may fill under pressure
 FRESH = 1 * SECOND  # word of others' use counts in full until this old ...
 SILENT = 3 * SECOND  # ... and not at all from here on: their even slices are theirs again
@@ -59,88 +53,6 @@
 POOLED = 0.75  # part of a ceiling that the home hands out; the rest is in even slices for its silence
 
 
-def mean_values(demand: float, delay: float, most: int) -> list[float]:
-    """Mean value analysis of one delay and one queue: response times for 0..most in flight."""
-    times, queued = [delay + demand], 0.0
-    for n in range(1, most + 1):
-        wait = demand * (1.0 + queued)
-        times.append(delay + wait)
-        queued = n * wait / (delay + wait)
-    return times
-
-
-class QueueModel:
-    """Delay plus one shared queue; the demand is fitted to recent latency at the recent number in flight."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.aims = [float(c.aim) for c in settings.classes]
-        self.latency = [Mean(MEMORY) for _ in settings.classes]
-        self.shortest = [0.0] * len(self.aims)
-        self.in_flight, self.risen = Mean(MEMORY), False
-        self.delay, self.mean, self.times = 0.0, 0.0, [0.0]
-        self.limit: int | None = None
-
-    def fit(self, now: int, out: int, outstanding: list[tuple[int, int]]) -> None:
-        """Refit; outstanding attempts older than the mean count as answers that late, to see jams in time."""
-        self.in_flight.add(now, out)
-        total = weight = delay = room = 0.0
-        for cls, latency in enumerate(self.latency):
-            latency.memory = int(min(LONG, max(MEMORY, SAMPLES * SECOND / max(1e-3, latency.rate(now)))))
-            if latency.weight < 0.5:
-                continue
-            ages = [age for c, age in outstanding if c == cls and age > latency.value]
-            w = latency.weight + len(ages)
-            mean = (latency.total + sum(ages)) / w
-            if latency.weight >= 4.0:
-                grown = self.shortest[cls] * (1.0 + DELAY_GROWTH * TICK / SECOND)
-                self.shortest[cls] = min(grown, latency.value) if grown else latency.value
-            total, weight, delay = total + mean * w, weight + w, delay + (self.shortest[cls] or mean) * w
-            room += w * self.room(cls)
-        self.risen, self.limit, n = False, None, ceil(self.in_flight.value)
-        if weight:
-            self.mean, self.delay = total / weight, min(delay / weight, total / weight)
-            self.risen = self.mean - self.delay > RISE * room / weight and n > 1
-        if self.risen:
-            self._fit_demand(n)
-
-    def _fit_demand(self, n: int) -> None:
-        low, high = 0.0, self.mean
-        for _ in range(20):
-            demand = (low + high) / 2
-            over = mean_values(demand, self.delay, n)[n] > self.mean
-            low, high = (low, demand) if over else (demand, high)
-        self.times = mean_values(high, self.delay, 4 * n + 20)
-        room = TARGET * min(self.room(cls) for cls in range(len(self.aims)))
-        self.limit = max(2, sum(t - self.delay <= room for t in self.times) - 1)
-
-    def room(self, cls: int) -> float:
-        return max(self.aims[cls] - self.shortest[cls], self.aims[cls] / 4)
-
-    def response(self, n: float) -> float:
-        return self.times[min(max(0, round(n)), len(self.times) - 1)]
-
-
-def seven_cases(wanted: int, response: Goal, throughput: Goal, others: Goal) -> int:
-    """The paper's section 5: concurrency offered, 0 to reject; each goal tells whether it holds at one."""
-
-    def first(levels: range, *goals: Goal) -> int:
-        return next((n for n in levels if all(goal(n) for goal in goals)), 0)
-
-    fewer, more = range(wanted - 1, 0, -1), range(wanted + 1, 2 * wanted + 1)
-
-    r, x, w = response(wanted), throughput(wanted), others(wanted)
-    if w and r and x:
-        return wanted  # case 1
-    if w and x:  # case 2: too slow; fewer, or else the fewest that keep the throughput
-        return first(fewer, response, throughput) or first(fewer[::-1], throughput) or wanted
-    if w and r:  # case 3: too little throughput; more, or else as many as stay fast enough
-        return first(more, response, throughput, others) or first(more[::-1], response, others) or wanted
-    if w:  # case 4: both
-        return first(fewer, response) or first(more, throughput, others) or wanted
-    both = first(fewer, response, throughput, others) or first(fewer, others, throughput)  # cases 5 to 7
-    return (x and both) or first(fewer, others)
-
-
 class Quota:
     """The companion bucket, limits on open attempts and ceilings, over all gateways: where word of all peers
     is fresh each keeps the store; else one home for each customer does, or the counter."""
@@ -426,6 +338,8 @@
                 self.fleet.learn(now, event)
                 if event.kind is ListKind.FAILED:
                     actions.append(SetTimer(SECOND, RETRY_LIST))
+            case LeaveOut(backend, out):
+                self.fleet.leave_out(now, backend, out)
             case ClientLeft():
                 self.open.pop(event.request, None)
             case TimerFired(token):
@@ -438,6 +352,9 @@
                 actions += self._decided(now, *self.quota.counted(now, event))
         return actions
 
+    def skipped(self, now: int) -> int:
+        return self.fleet.skipped(now)
+
     def _tick(self, now: int) -> list[Action]:
         actions: list[Action] = [SetTimer(TICK, EVERY_TICK), *self._overdue(now)]
         usual = [LOST * latency.value for latency in self.model.latency]
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -100,6 +100,7 @@
     met: dict[int, tuple[int, float]] = field(default_factory=dict)  # by class: when, 1 if unanswered
     tokens: float = 0.0
     tokens_at: int = 0
+    lifted: int = 0  # when an operator's ban on it ended: it may have been started anew meanwhile
 
 
 @dataclass(slots=True)
