--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -15,6 +15,7 @@
 
 from ..interface import Outcome
 from .config import Address
+from .figures import Figures
 from .logs import Sparing
 from .resp import AnswerFrames, FrameError
 
@@ -155,11 +156,15 @@
         transport.write(attempt.payload(now))
         # A write that met a broken connection leaves the transport closing, with nothing sent.
         self.unsent = transport.is_closing() or transport.get_write_buffer_size() > 0
+        if not self.unsent:
+            self.pool.owner.written(attempt)
 
     def pause_writing(self) -> None:
         self.unsent = True
 
     def resume_writing(self) -> None:
+        if self.unsent and self.attempt is not None:
+            self.pool.owner.written(self.attempt)
         self.unsent = False
 
     def data_received(self, data: bytes) -> None:
@@ -365,13 +370,13 @@
 
     def __init__(
         self, most: int, connect_timeout: float, idle_limit: float, drain_grace: float,
-        clock: Callable[[], int], done: Done,
+        clock: Callable[[], int], done: Done, figures: Figures,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
         self.open = 0
         self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
-        self.clock = clock
+        self.clock, self._figures = clock, figures
         self._most, self._done = most, done
         self._grace = drain_grace * GRACE_PART
         self._pools: dict[int, _Pool] = {}
@@ -411,6 +416,11 @@
         else:
             pool.start(attempt, attempt.started)
 
+    def written(self, attempt: Attempt) -> None:
+        """Its last byte is out: it counts, unless it is a probe."""
+        if not isinstance(attempt, ProbeAttempt):
+            self._figures.tries += 1
+
     def fail_unsent(self, attempt: Attempt) -> None:
         self.finish(attempt, Outcome.CONNECT_FAILED, None, {})
 
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -19,6 +19,7 @@
     Event,
     Fail,
     Health,
+    LeaveOut,
     ListKind,
     LogLine,
     Outcome,
@@ -36,9 +37,11 @@
 from ..logic import Gateway
 from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
 from .clients import BadCall, Call, Clients, Slot
-from .config import Config, needs_restart
+from .config import Address, Config, needs_restart
 from .counter import Counter as QuotaCounter
-from .discovery import Discovery, ListError, Update, parse_update
+from .discovery import Discovery, ListError, Update, backend_id, parse_update
+from .figures import Ended, Figures, Standing, render
+from .operators import Door
 from .peers import Peers
 
 log = logging.getLogger(__name__)
@@ -80,6 +83,9 @@
         self._requests: dict[int, Request] = {}
         self._ids: set[bytes] = set()  # of the requests that still owe an answer
         self._seen: set[int] = set()  # backends in the list, for what a whole list no longer names
+        self._addresses: dict[int, Address] = {}  # of those that are ready
+        self._out: set[int] = set()  # backends that operators have left out, as the module was told
+        self._figures = Figures(config.classes)
         self._told = asyncio.Event()
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
         self._counts: Counter[Outcome] = Counter()  # likewise calls to the quota counter
@@ -88,7 +94,7 @@
         settings = config.settings
         self.backends = Backends(
             int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
-            settings.drain_grace / SECOND, self.now, self._attempt_ended,
+            settings.drain_grace / SECOND, self.now, self._attempt_ended, self._figures,
         )
         self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
@@ -105,12 +111,15 @@
                 log.warning("known list passed over: %s", error)
         if index is None:
             self._handle(Topology(ListKind.CACHED, 0, ()))
+        self.door = None if config.operator is None else Door(config.operator, self)
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
 
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
         if self.config.peer_listen is not None and self.config.settings.may_message:
             await self._loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+        if self.door is not None:
+            await self.door.start()
         self.discovery.start()
         if self.counter is not None:
             self.counter.start()
@@ -151,6 +160,8 @@
         self.peers.close()
         if self.counter is not None:
             self.counter.close()
+        if self.door is not None:
+            self.door.close()
 
     def reconfigure(self, fresh: Config) -> None:
         """Follow discovery and counter to where they are now; all else stays as it is."""
@@ -171,14 +182,43 @@
         named = {entry.id for entry in update.topology.entries}
         if update.topology.kind is not ListKind.DELTA:
             for backend in self._seen - named:
+                self._addresses.pop(backend, None)
                 self.backends.learn(backend, None)
             self._seen = set()
         for entry in update.topology.entries:
-            gone = entry.health is not Health.READY
-            self.backends.learn(entry.id, None if gone else update.addresses[entry.id])
+            if entry.health is Health.READY:
+                self._addresses[entry.id] = update.addresses[entry.id]
+            else:
+                self._addresses.pop(entry.id, None)
+            self._reach(entry.id)
             (self._seen.discard if entry.health is Health.GONE else self._seen.add)(entry.id)
         self._handle(update.topology)
 
+    def _reach(self, backend: int) -> None:
+        """New connections to it go where the list says, unless operators have left it out."""
+        self.backends.learn(backend, None if backend in self._out else self._addresses.get(backend))
+
+    # From the operators.
+
+    def taking(self) -> bool:
+        return self.clients.taking()
+
+    def figures(self) -> bytes:
+        skipped = self.module.skipped(self.now())
+        return render(self._figures, Standing(len(self._ids), len(self._seen), skipped))
+
+    async def leave_out(self, name: str, out: bool) -> bool:
+        backend = backend_id(name)
+        if backend not in self._seen and backend not in self._out:
+            return False
+        self._leave_out(backend, out)
+        return True
+
+    def _leave_out(self, backend: int, out: bool) -> None:
+        (self._out.add if out else self._out.discard)(backend)
+        self._handle(LeaveOut(backend, out))
+        self._reach(backend)
+
     def heard(self, sender: int, data: bytes) -> None:
         self._handle(PeerMessage(sender, data))
 
@@ -228,7 +268,7 @@
             self.backends.expire(attempt)
         if not request.closed:
             # The module left it open, perhaps after a fault: a failure promises nothing.
-            self._answer(number, request, b"-ERR out of time\r\n")
+            self._answer(number, request, b"-ERR out of time\r\n", Ended.FAILED)
             self._handle(ClientLeft(number))
 
     # Answers.
@@ -248,7 +288,8 @@
                 request.timer.cancel()
             self._requests.pop(number, None)
 
-    def _answer(self, number: int, request: Request, answer: bytes) -> None:
+    def _answer(self, number: int, request: Request, answer: bytes, how: Ended) -> None:
+        self._figures.end(request.call.cls, how)
         self._close(number, request)
         request.slot.client.answer(request.slot, answer)
 
@@ -266,7 +307,7 @@
         request = self._requests[number]
         request.out.pop(attempt.index, None)
         if outcome is Outcome.OK and value is not None and not request.closed:
-            self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value))
+            self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value), Ended.PASSED)
         # The module's figure is one more than the percentage; 0 says that none was told.
         used = 1 + min(USED_MOST, int(report["used"])) if "used" in report else 0
         event = AttemptEnded(
@@ -302,7 +343,7 @@
         """The request that a fault hit still gets its one answer, and the module need not keep it."""
         request = self._requests.get(number)
         if request is not None and not request.closed:
-            self._answer(number, request, b"-ERR internal fault\r\n")
+            self._answer(number, request, b"-ERR internal fault\r\n", Ended.FAILED)
             self._handle(ClientLeft(number))
 
     def _act(self, action: Action) -> None:
@@ -312,10 +353,11 @@
             case Refuse(number, retry_in):
                 if (request := self._requests.get(number)) is not None and not request.closed:
                     wait = -(-retry_in // MILLISECOND)
-                    self._answer(number, request, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+                    answer = b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n"
+                    self._answer(number, request, answer, Ended.DROPPED)
             case Fail(number):
                 if (request := self._requests.get(number)) is not None and not request.closed:
-                    self._answer(number, request, b"-ERR failed\r\n")
+                    self._answer(number, request, b"-ERR failed\r\n", Ended.FAILED)
             case SetTimer(after, token):
                 self._loop.call_later(after / SECOND, self._handle, TimerFired(token))
             case Tell(to, data):
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -12,6 +12,7 @@
 
 from badgerspindle.interface import Outcome
 from badgerspindle.net import backends
+from badgerspindle.net.figures import Figures
 from badgerspindle.net.backends import (
     Ages, Attempt, Backends, Report, monotonic_unix_ns, read_answer, read_report,
 )
@@ -29,9 +30,10 @@
 
     def __init__(self, most: int, connect: float, idle: float, grace: float) -> None:
         self.ends: asyncio.Queue[Ended] = asyncio.Queue()
+        self.figures = Figures(())
         self.pools = Backends(
             most, connect, idle, grace, CLOCK,
-            lambda attempt, *end: self.ends.put_nowait((attempt.request, *end)),
+            lambda attempt, *end: self.ends.put_nowait((attempt.request, *end)), self.figures,
         )
 
     def start(
