--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -30,6 +30,7 @@
         self.banned: set[int] = set()  # by operators; outlasts whatever the list says
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
+        self.kept = 1.0  # part of the cold backends' budgets that is this process's
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
 
     def learn(self, now: int, event: Topology) -> None:
@@ -91,7 +92,7 @@
         # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here.
         each, span = self.sends.rate(now) / max(1, self.warm), (now - server.tokens_at) / SECOND
         least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.lifted > 0)
-        server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span)
+        server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span * self.kept)
         server.tokens_at = now
         return server.tokens >= 1.0
 
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -69,6 +69,7 @@
         # By name: ask, amount, whether it puts the number right, owed, untold.
         self.calls: dict[int, deque[tuple[int, float, bool, float, float]]] = {}
         self.tag, self.pace, self.restarted = 0, 1.0, False
+        self.kept = 1.0  # part of the stores that is this process's while another shares them
 
     def account(self, now: int, customer: int, index: int, spread: int = 0, first: int = 0) -> Account:
         """The customer's account; `spread` is 0 when a peer asks and no request of it came here."""
@@ -112,15 +113,15 @@
 
     def refill(self, now: int, account: Account) -> None:
         dt, account.at = (now - account.at) / SECOND, now
-        plan, share = account.plan, self.share(now, account) if self.gossip else 1.0
-        even = 1.0 / account.slices if account.slices else 0.0
+        plan, share = account.plan, self.share(now, account) * self.kept if self.gossip else 1.0
+        even = self.kept / account.slices if account.slices else 0.0
         if dt:
             account.level = min(plan.burst * share, account.level + plan.rate * share * dt)
         account.part = min(max(plan.burst * even, self.s.largest), account.part + plan.rate * even * dt)
         if account.untold and self.calm(now, account):
             # What a store that is not pressed has filled up again needs no word.
             account.untold = max(0.0, account.untold - plan.rate * dt)
-        even = (1.0 - POOLED) * even + POOLED * self.at_home(account) if self.homes else even
+        even = (1.0 - POOLED) * even + POOLED * self.kept * self.at_home(account) if self.homes else even
         account.ceiling = min(plan.ceiling_burst * even, account.ceiling + plan.ceiling_rate * even * dt)
 
     def may(self, now: int, account: Account, units: float) -> bool:
--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -377,7 +377,7 @@
         self.open = 0
         self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
         self.clock, self._figures = clock, figures
-        self._most, self._done = most, done
+        self.most, self._whole, self._done = most, most, done
         self._grace = drain_grace * GRACE_PART
         self._pools: dict[int, _Pool] = {}
         self._sweeper = self.loop.call_later(SWEEP, self._sweep)
@@ -395,6 +395,10 @@
                 pool.close_idle()
             self._pools[backend] = _Pool(self, address)
 
+    def share(self, most: int | None) -> None:
+        """So many connections at most, while another process has the rest."""
+        self.most = self._whole if most is None else min(self._whole, max(1, most))
+
     def known(self) -> list[int]:
         return list(self._pools)
 
@@ -452,11 +456,11 @@
 
     def room(self) -> bool:
         """Whether one more connection may be opened; an idle one elsewhere gives way."""
-        if self.open >= self._most:
+        if self.open >= self.most:
             spare = max(self._pools.values(), key=lambda pool: len(pool.idle), default=None)
             if spare is not None and spare.idle:
                 spare.idle[0].drop()
-        return self.open < self._most
+        return self.open < self.most
 
     def _sweep(self) -> None:
         self.ages.decay()
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -406,8 +406,8 @@
         self.catalogue, self.requests = Catalogue(config), requests
         loop = asyncio.get_running_loop()
         self.time, self.soon, self._later = loop.time, loop.call_soon, loop.call_later
-        self.bound = most
-        self.memory = int(config.memory * BUFFER_PART)  # bytes that all clients' rests may hold
+        self.bound = self._most = most
+        self.memory = self._memory = int(config.memory * BUFFER_PART)  # bytes that all rests may hold
         self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
         self.held = 0  # bytes of all rests
         self._address, self._passed = config.listen, config.passed
@@ -430,6 +430,11 @@
             self._server = await loop.create_server(lambda: Client(self), *self._address, backlog=1024)
         self._looker = self._later(LOOK, self._look)
 
+    def share(self, bound: int | None, part: float) -> None:
+        """So many connections at most, and that part of the memory, while another process has the rest."""
+        self.bound = self._most if bound is None else min(self._most, max(1, bound))
+        self.memory = int(self._memory * part)
+
     def _look(self) -> None:
         now, crowded = self.time(), self.count() > CROWDED * self.bound
         for client in [*self._fresh, *self._clients]:
--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -89,6 +89,7 @@
         self._zones, self._kinds = zones, kinds
         self._index = index
         self._told = told
+        self._hosts: dict[str, Any] = {}  # the list as it was told last, for the next process
         self._backoff = BACKOFF_FIRST
         self._closed = False
         self._leaving: dict[int, int] = {}  # backends told to drain or be gone, and when each had started
@@ -139,8 +140,29 @@
         )
         return Update(replace(update.topology, entries=entries), update.addresses)
 
+    def known(self) -> dict[str, Any] | None:
+        """The list in discovery's own form; None where nothing was told yet."""
+        hosts = list(self._hosts.values())
+        return {"seq": self._index, "whole": True, "hosts": hosts} if hosts else None
+
+    def adopt(self, raw: dict[str, Any]) -> Update:
+        """A list that the process before was told; the watch goes on from it."""
+        update = parse_update(raw, self._zones, self._kinds, cached=True)
+        self._note(raw, True)
+        self._index = update.topology.version
+        return update
+
+    def _note(self, raw: dict[str, Any], whole: bool) -> None:
+        self._hosts = {} if whole else self._hosts
+        for host in raw["hosts"]:
+            if host["health"] == "terminated":
+                self._hosts.pop(host["host"], None)
+            else:
+                self._hosts[host["host"]] = host
+
     def _line(self, line: bytes) -> None:
-        update = parse_update(json.loads(line), self._zones, self._kinds)
+        raw = json.loads(line)
+        update = parse_update(raw, self._zones, self._kinds)
         whole = update.topology.kind is ListKind.FULL
         # A second watch may tell again what is known: an older version must not undo a newer one.
         if not whole and self._index is not None and update.topology.version < self._index:
@@ -148,6 +170,7 @@
         if whole and self._index is not None and update.topology.version < self._index:
             update = self._behind(update)
         self._told(update)
+        self._note(raw, whole)
         for entry in update.topology.entries:
             self._leaving.pop(entry.id, None)
             if entry.health is not Health.READY:
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -6,7 +6,9 @@
 import logging
 from collections import Counter
 from itertools import count
+from typing import Any
 
+from .. import heritage
 from ..interface import (
     Action,
     AddToCounter,
@@ -43,6 +45,7 @@
 from .figures import Ended, Figures, Standing, render
 from .operators import Door
 from .peers import Peers
+from .succession import Succession
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +58,7 @@
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 USED_MOST = 60_000  # percent of a quota in use that the module is told at most
 RESERVED = 64  # descriptors that are neither a client's nor a backend's: listener, peers, discovery, files
+OLD_CLIENTS, OLD_BACKENDS = 4, 8  # connections that a process may still add once the next one starts
 BACKEND_PART = 0.5  # of the other descriptors; each request needs one on either side at most
 
 
@@ -111,6 +115,8 @@
                 log.warning("known list passed over: %s", error)
         if index is None:
             self._handle(Topology(ListKind.CACHED, 0, ()))
+        folder = config.folder if config.passed is not None else None
+        self.succession = None if folder is None else Succession(folder, config.name, self)
         self.door = None if config.operator is None else Door(config.operator, self)
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
 
@@ -130,7 +136,11 @@
                 await self._told.wait()
         except TimeoutError:
             log.warning("no word from discovery yet, starting with the list last known")
+        if self.succession is not None and (state := await self.succession.inherit()) is not None:
+            self._inherit(state)
         await self.clients.start()
+        if self.succession is not None:
+            await self.succession.serve()
         log.info("%s listening on %s:%d", self.config.name, self.config.listen[0], self.clients.port)
 
     def _tally(self) -> None:
@@ -162,6 +172,8 @@
             self.counter.close()
         if self.door is not None:
             self.door.close()
+        if self.succession is not None:
+            self.succession.close()
 
     def reconfigure(self, fresh: Config) -> None:
         """Follow discovery and counter to where they are now; all else stays as it is."""
@@ -211,14 +223,47 @@
         backend = backend_id(name)
         if backend not in self._seen and backend not in self._out:
             return False
-        self._leave_out(backend, out)
+        self.told(backend, out)
+        if self.succession is not None:
+            await self.succession.agree(backend, out)
         return True
 
-    def _leave_out(self, backend: int, out: bool) -> None:
+    def told(self, backend: int, out: bool) -> None:
         (self._out.add if out else self._out.discard)(backend)
         self._handle(LeaveOut(backend, out))
         self._reach(backend)
 
+    # Upgrades.
+
+    def bequeath(self) -> dict[str, Any]:
+        """For the process that takes over; what this one holds open stays its own until it ends."""
+        clients, backends = self.clients.count() + OLD_CLIENTS, self.backends.open + OLD_BACKENDS
+        self.clients.share(clients, heritage.OLD)
+        self.backends.share(backends)
+        return {"list": self.discovery.known(), "clients": clients, "backends": backends,
+                "decisions": heritage.bequeath(self.module, self.now())}
+
+    def _inherit(self, state: dict[str, Any]) -> None:
+        try:
+            if not self._told.is_set() and state["list"] is not None:
+                self._learn(self.discovery.adopt(state["list"]))
+            clients, backends = int(state["clients"]), int(state["backends"])
+            heritage.inherit(self.module, self.now(), state["decisions"], self.config.settings)
+        except (KeyError, TypeError, ValueError) as error:
+            log.error("upgrade: starting without the state of the process before: %s", error)
+            return
+        self.clients.share(self.clients.bound - clients, heritage.NEW)
+        self.backends.share(self.backends.most - backends)
+        for backend in self.module.fleet.banned:
+            self._out.add(backend)
+            self._reach(backend)
+        log.info("upgrade: taken over, %d order servers left out", len(self._out))
+
+    def alone(self) -> None:
+        self.clients.share(None, 1.0)
+        self.backends.share(None)
+        heritage.alone(self.module)
+
     def heard(self, sender: int, data: bytes) -> None:
         self._handle(PeerMessage(sender, data))
 
--- /dev/null
+++ b/tests/test_heritage.py
@@ -0,0 +1,109 @@
+"""What one process of a gateway leaves to the next: both together hold no more than one did."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from badgerspindle import heritage
+from badgerspindle.interface import Counted, LeaveOut, Outcome, Send
+from badgerspindle.logic import Gateway
+
+from .helpers import SECOND, arrival, backend, ended, full_list, plan, settings
+
+START = 100 * SECOND
+SETTINGS = settings(
+    may_message=False, counter=True, gateways=2,
+    plans=(plan(ceiling_rate=20.0, ceiling_burst=40.0, ceiling_slack=8.0),),
+)
+
+
+def gateway() -> Gateway:
+    made = Gateway(SETTINGS, 7, 0)
+    made.handle(0, full_list(backend(1), backend(2, booted=START - SECOND), backend(3)))
+    return made
+
+
+def used(count: int = 5) -> Gateway:
+    """One whose customer 1 has sent on some requests, unanswered, with nobody at the counter."""
+    g = gateway()
+    for n in range(count):
+        g.handle(START, arrival(n, START))
+        name = 1 << 16 | (START // (60 * SECOND)) & 0xFFFF
+        g.handle(START, Counted(0, Outcome.OK, name, float(n + 1)))
+    g.handle(START, ended(0, 1, elapsed=SECOND // 5))
+    return g
+
+
+def passed_on(old: Gateway, now: int = START) -> Gateway:
+    new = gateway()
+    heritage.inherit(new, now, json.loads(json.dumps(heritage.bequeath(old, now))), SETTINGS)
+    return new
+
+
+def test_both_together_hold_the_stores_of_one_then_and_later() -> None:
+    old = used()
+    before = old.quota.accounts[1]
+    part, ceiling = before.part, before.ceiling
+    new = passed_on(old)
+    both = old.quota.accounts[1], new.quota.accounts[1]
+    assert sum(a.part for a in both) == pytest.approx(part)
+    assert sum(a.ceiling for a in both) == pytest.approx(ceiling)
+    single = used().quota
+    for quota in (old.quota, new.quota, single):
+        quota.refill(START + 60 * SECOND, quota.accounts[1])
+    assert sum(a.ceiling for a in both) == pytest.approx(single.accounts[1].ceiling)
+    heritage.alone(new)
+    new.quota.refill(START + 120 * SECOND, new.quota.accounts[1])
+    assert new.quota.accounts[1].ceiling == pytest.approx(single.accounts[1].ceiling)
+
+
+def test_first_request_adds_no_second_slack_and_open_attempts_count_on() -> None:
+    old = used()
+    new = passed_on(old)
+    ceiling = new.quota.accounts[1].ceiling
+    new.handle(START, arrival(90, START))
+    assert new.quota.accounts[1].ceiling <= ceiling
+    assert new.quota.accounts[1].others == old.quota.accounts[1].open == 4
+
+
+def test_bans_suspensions_and_latency_go_over_and_cold_budgets_are_not_doubled() -> None:
+    old = used()
+    old.handle(START, LeaveOut(3, True))
+    old.handle(START, LeaveOut(77, True))  # not listed at the moment
+    old.fleet.servers[1].suspended, old.fleet.servers[2].tokens = START + SECOND, 1.5
+    new = passed_on(old)
+    assert new.fleet.banned == {3, 77}
+    assert new.fleet.servers[1].suspended == START + SECOND
+    assert (old.fleet.servers[2].tokens, new.fleet.servers[2].tokens) == (0.0, 1.5)
+    assert old.fleet.kept + new.fleet.kept == 1.0
+    assert new.model.latency[0].value == old.model.latency[0].value > 0.0
+    sends = [a for a in new.handle(START, arrival(91, START, customer=2)) if isinstance(a, Send)]
+    assert [a.backend for a in sends] in ([], [2])
+
+
+def test_server_started_anew_since_owes_nothing_to_what_the_old_process_saw() -> None:
+    old = used()
+    old.fleet.servers[1].suspended = START + SECOND
+    new = gateway()
+    new.handle(START, full_list(backend(1, booted=START)))
+    heritage.inherit(new, START, heritage.bequeath(old, START), SETTINGS)
+    assert new.fleet.servers[1].suspended == 0
+
+
+def broken(**changes: Any) -> dict[str, Any]:
+    return {**heritage.bequeath(used(), START), **changes}
+
+
+@pytest.mark.parametrize("raw", [
+    {}, broken(accounts=[[1, 2]]), broken(accounts=None), broken(servers=[["x"] * 8]), broken(banned="abc"),
+    broken(latency=[]), broken(sends=[1]), broken(pace="fast"), broken(retries=None),
+    broken(accounts=[[1, 9, 2, [], 0, 1.0, 1.0, 1.0, 0, [0, 1, 0.0, 0.0], [0, 1, 0.0, 0.0]]]),
+])
+def test_unreadable_heritage_changes_nothing(raw: dict[str, Any]) -> None:
+    g = gateway()
+    with pytest.raises(ValueError):
+        heritage.inherit(g, START, raw, SETTINGS)
+    assert not g.quota.accounts and not g.fleet.banned and g.quota.kept == g.fleet.kept == 1.0
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -31,12 +31,16 @@
 
     def __init__(self, process: asyncio.subprocess.Process, port: int, backend: Backend, path: Path) -> None:
         self.process, self.port, self.backend, self.path = process, port, backend, path
+        self.door = 0
+        self.read = b""  # of the log: what was read past on the way to lines asked for
 
-    async def logged(self, words: bytes) -> None:
+    async def logged(self, words: bytes) -> bytes:
         """Reads the log up to a line that holds these words."""
         assert self.process.stderr is not None
         while words not in (line := await soon(self.process.stderr.readline())):
             assert line, "ended before it said so"
+            self.read += line
+        return line
 
     async def client(self) -> Connection:
         return Connection(*await soon(asyncio.open_connection(LOCAL, self.port)))
@@ -64,6 +68,7 @@
     )
     try:
         made = Process(process, sock.getsockname()[1], backend, path)
+        made.door = int((await made.logged(b"operators' door at")).rsplit(b":", 1)[1])
         await made.logged(b"listening on")
         yield made
     finally:
@@ -107,6 +112,108 @@
     run(test)
 
 
+async def operate(p: Process, path: str, body: bytes = b"") -> int:
+    """Status of an operator's call."""
+    reader, writer = await soon(asyncio.open_connection(LOCAL, p.door))
+    head = f"{'POST' if body else 'GET'} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+    answer = await soon(reader.read())
+    writer.close()
+    return int(answer.split()[1])
+
+
+def test_what_operators_leave_out_stays_out_over_an_upgrade_and_either_door_reaches_both(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        agent, one, two = Agent(), Backend(), Backend()
+        async with listening(agent), listening(one), listening(two), passing() as sock:
+            agent.first = listing(1, host("s-1", one.port), host("s-2", two.port))
+            async with serving(tmp_path, agent, one, sock) as old:
+                kept = await old.client()
+                kept.send(call(number=1, wait_ms=9000))
+                await until(lambda: one.commands.qsize() + two.commands.qsize() == 1)
+                held = (one if one.commands.qsize() else two).commands.get_nowait()[0]
+                assert await operate(old, "/ops/order-servers/down", b"s-1") == 200
+                async with serving(tmp_path, agent, one, sock) as new:
+                    assert b"taken over, 1 order servers left out" in new.read
+                    assert await operate(new, "/ops/readiness") == 200
+                    # During the overlap the old door reaches the new process, and the other way round.
+                    assert await operate(new, "/ops/order-servers/up", b"s-1") == 200
+                    assert await operate(old, "/ops/order-servers/down", b"s-2") == 200
+                    old.process.send_signal(signal.SIGTERM)
+                    await old.logged(b"stopping")
+                    assert await operate(old, "/ops/readiness") == 503
+                    await asyncio.sleep(0)
+                    for number in range(2, 12):
+                        client = await new.client()
+                        client.send(call(number=number))
+                        answered = asyncio.ensure_future(client.next())
+                        while not answered.done():
+                            assert two.commands.empty()  # left out: nothing may go there
+                            if not one.commands.empty():
+                                one.commands.get_nowait()[0].send(served(b"v"))
+                            await asyncio.sleep(0.001)
+                    held.send(served(b"old"))
+                    assert await kept.next() == b"old"
+                    assert await soon(old.process.wait()) == 0
+                    await new.logged(b"the other process is gone")
+                    assert await operate(new, "/ops/order-servers/up", b"s-2") == 200
+                    assert await operate(new, "/ops/order-servers/up", b"s-3") == 404
+
+    run(test)
+
+
+@pytest.mark.parametrize("said", [
+    None, b"", b"{", b"\xff\n", b'{"v":2,"state":{}}\n', b'{"v":1,"state":{}}\n', b'{"v":1,"state":7}\n',
+    b'{"v":1,"state":{"list":null,"clients":1,"backends":1,"decisions":{"accounts":[[1]]}}}\n',
+])
+def test_process_before_that_says_nothing_or_nonsense_costs_a_bounded_moment(
+    tmp_path: Path, said: bytes | None
+) -> None:
+    async def test() -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(await reader.readline())
+            if said is not None:
+                writer.write(said)
+                if not said.endswith(b"\n"):
+                    writer.close()
+
+        asked: list[bytes] = []
+        server = await asyncio.start_unix_server(answer, tmp_path / "upgrade-n0.sock")
+        agent, backend = Agent(), Backend()
+        async with listening(agent), listening(backend), passing() as sock:
+            agent.first = listing(1, host("s-1", backend.port))
+            async with serving(tmp_path, agent, backend, sock) as p:
+                assert json.loads(asked[0]) == {"v": 1, "want": "state"}
+                client = await p.client()
+                client.send(call())
+                connection, _ = await backend.command()
+                connection.send(served(b"v"))
+                assert await client.next() == b"v"
+        server.close()
+
+    run(test)
+
+
+def test_name_left_by_a_killed_process_is_taken_over_in_a_folder_with_a_long_path(tmp_path: Path) -> None:
+    async def test() -> None:
+        folder = tmp_path / ("long" * 30)
+        folder.mkdir()
+        agent, backend = Agent(), Backend()
+        async with listening(agent), listening(backend), passing() as sock:
+            agent.first = listing(1, host("s-1", backend.port))
+            async with serving(folder, agent, backend, sock) as killed:
+                killed.process.kill()
+                await killed.process.wait()
+            async with serving(folder, agent, backend, sock) as p:  # finds the name, and nobody there
+                assert await operate(p, "/ops/order-servers/down", b"s-1") == 200
+                async with serving(folder, agent, backend, sock) as new:
+                    assert b"taken over, 1 order servers left out" in new.read
+
+    run(test)
+
+
 @pytest.mark.parametrize("descriptor", ["0", "999"])
 def test_descriptor_that_is_no_listening_socket_is_passed_over(tmp_path: Path, descriptor: str) -> None:
     async def test() -> None:
