--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -12,9 +12,9 @@
 
 from .fleet import Filter, Fleet
 from .interface import (
-    NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Cancel, ClientLeft, Counted, Event, Fail, Group,
-    LeaveOut, ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer, Settings, Tell,
-    TimerFired, Topology, Watch,
+    NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Begun, Cancel, ClientLeft, Counted, Event,
+    Fail, Group, LeaveOut, ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer,
+    Settings, Tell, TimerFired, Topology, Watch,
 )
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
 from .model import TARGET, QueueModel, seven_cases
@@ -335,6 +335,8 @@
                 actions += self._arrived(now, event)
             case AttemptEnded():
                 actions += self._ended(now, event)
+            case Begun(number, _, attempt):
+                actions += self._begun(number, attempt)
             case Topology():
                 self.fleet.learn(now, event)
                 if event.kind is ListKind.FAILED:
@@ -591,12 +593,23 @@
             return lambda b: b.zone == first.zone
         return lambda b: cls.group is Group.ALL or b.cell == first.cell
 
+    def _begun(self, number: int, attempt: int) -> list[Action]:
+        """The request is bound to this attempt: no other is made, and those out are called off."""
+        request = self.open.pop(number, None)
+        if request is None or (number, attempt) not in self.attempts:
+            return []
+        self.out -= request.out
+        request.begun = True
+        others = [i for i in range(request.sends) if i != attempt and (number, i) in self.attempts]
+        return [Cancel(number, i) for i in others] if self.s.may_cancel else []
+
     def _ended(self, now: int, event: AttemptEnded) -> list[Action]:
         request = self.attempts.pop((event.request, event.attempt), None)
         if request is None:
             return []
         account, cls = request.account, request.arrival.cls
-        request.out, account.open, self.out = request.out - 1, account.open - 1, self.out - 1
+        request.out, account.open = request.out - 1, account.open - 1
+        self.out -= not request.begun
         if event.used:
             account.metered_at, account.metered = now, (event.used - 1) / 100
             account.granted.add(now, min(1.0, max(0.0, 0.5 + (1.01 - event.used / 100) / METER_SPAN)))
--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -6,10 +6,11 @@
 import logging
 import re
 import select
+import socket
 import time
 from bisect import bisect
 from collections.abc import Callable, Iterable
-from typing import cast
+from typing import Protocol, cast
 
 import hiredis
 
@@ -22,7 +23,9 @@
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
 
-STALL = 0.25  # s in which the rest of an answer follows its first bytes; far over a round trip
+STALL = 0.5  # s without a further byte of an answer that has begun; far over a slow writer's gaps
+STALL_LARGE = 5.0  # the same of a large value: the client has its first bytes, and no second attempt follows
+READ_MOST = 64 << 10  # bytes of an answer that the system keeps unread: what one read may bring
 SETTLE = 0.005  # s that a connection rests after an answer, where another is free: a second copy may follow
 RETIRE = 0.5  # part of the idle limit after which a connection is closed: well before its backend does so
 SWEEP = 1.0  # s between looks for idle connections to retire
@@ -39,12 +42,27 @@
 Report = dict[str, float]
 Ending = tuple[Outcome, "bytes | None", Report]
 Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
+Begun = Callable[["Attempt", int, "Flow"], "Sink | None"]
+
+
+class Flow(Protocol):
+    """What can be stopped for a while."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
+class Sink(Protocol):
+    """What takes a large value as it comes."""
+
+    def write(self, data: bytes) -> None: ...
 
 
 class Attempt:
     """One try of one request at one backend."""
 
-    __slots__ = ("backend", "expires", "index", "link", "parts", "request", "started", "timer")
+    __slots__ = ("backend", "begun", "expires", "index", "link", "parts", "request", "started", "timer")
 
     def __init__(
         self, request: int, index: int, backend: int, started: int, expires: int,
@@ -53,6 +71,7 @@
         self.request, self.index, self.backend = request, index, backend
         self.started, self.expires = started, expires
         self.parts = parts
+        self.begun = 0  # when a large value's first bytes came
         self.link: _Link | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -123,8 +142,8 @@
 class _Link(asyncio.Protocol):
     """One connection; its attempt's bytes are known to be out once the write buffer is empty."""
 
-    __slots__ = ("age", "attempt", "frames", "idle_at", "pool", "reader", "task", "timer", "transport",
-                 "unsent", "written_at")
+    __slots__ = ("age", "attempt", "frames", "heard_at", "idle_at", "left", "paused", "pool", "reader",
+                 "sink", "skip", "task", "timer", "transport", "unsent", "written_at")
 
     def __init__(self, pool: _Pool, attempt: Attempt) -> None:
         self.pool = pool
@@ -134,7 +153,10 @@
         self.timer: asyncio.TimerHandle | None = None
         self.reader, self.frames = hiredis.Reader(), AnswerFrames()
         self.unsent = True
-        self.idle_at = self.written_at = 0.0
+        self.idle_at = self.written_at = self.heard_at = 0.0
+        self.sink: Sink | None = None  # of the large value that is on its way
+        self.left = self.skip = 0  # bytes to come of it, and of the line's end behind it
+        self.paused = False
         self.age = -1.0  # s at rest before its request; negative on a new one
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,6 +166,7 @@
             return
         # With no room in the buffer a write goes out at once, and a pause tells that some of it did not.
         self.transport.set_write_buffer_limits(high=0)
+        self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_MOST)
         self.pool.connected(self)
 
     def write(self, attempt: Attempt, now: int) -> None:
@@ -177,22 +200,70 @@
             return
         try:
             end = self.frames.scan(data, 0)
-            self.reader.feed(data if end < 0 else data[:end])
+            if not self.frames.large:
+                self.reader.feed(data if end < 0 else data[:end])
+            elif not self._pass_on(attempt, data if end < 0 else data[:end]):
+                return
             if end < 0:
+                self.heard_at = self.pool.owner.time()
                 if self.timer is None:
-                    self.timer = self.pool.owner.loop.call_later(STALL, self._spoilt, "answer without end")
+                    self.timer = self.pool.owner.loop.call_later(STALL, self._look)
                 return
             ending = attempt.read(self.reader.gets())
         except (FrameError, Spoilt, hiredis.ProtocolError, ValueError) as error:
             return self._spoilt(str(error))
         self.quiet()
-        self.attempt = None
+        self.attempt, self.sink, self.frames.large = None, None, 0
         if end < len(data):
             self.drop()  # what follows the answer is nobody's, and more of it may come
         else:
             self.pool.release(self)
         self.pool.finish(attempt, *ending)
 
+    def _pass_on(self, attempt: Attempt, data: bytes) -> bool:
+        """A large value goes on as it comes, what stands round it is read; whether somebody waits."""
+        at = 0
+        if self.sink is None:
+            at, self.left, self.skip = self.frames.large_at, self.frames.large, len(b"\r\n")
+            self.reader = hiredis.Reader()
+            self.reader.feed(b"*3\r\n$0\r\n\r\n")
+            attempt.begun = self.pool.owner.clock()
+            self.sink = self.pool.owner.begun(attempt, self.left, self)
+            if self.sink is None:
+                self.drop()
+                self.pool.finish(attempt, Outcome.CANCELLED)
+                return False
+        part = data[at:at + self.left]
+        self.left, at = self.left - len(part), at + len(part)
+        skip = min(self.skip, len(data) - at)
+        self.skip -= skip
+        self.reader.feed(data[at + skip:])
+        if part:
+            self.sink.write(part)
+        return self.attempt is attempt  # the client may have gone over it
+
+    def _look(self) -> None:
+        """Whether an answer that has begun still comes; what the client does not take is not waited for."""
+        owner = self.pool.owner
+        if self.paused:
+            self.heard_at = owner.time()
+        left = self.heard_at + (STALL_LARGE if self.sink is not None else STALL) - owner.time()
+        if left > 0.0:
+            self.timer = owner.loop.call_later(left, self._look)
+        else:
+            self.timer = None
+            self._spoilt("answer without end")
+
+    def pause(self) -> None:
+        if not self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused, self.heard_at = False, self.pool.owner.time()
+            self.transport.resume_reading()
+
     def _spoilt(self, why: str) -> None:
         """The request may have run; nothing that comes here from now on can be told apart."""
         attempt = cast(Attempt, self.attempt)
@@ -337,6 +408,7 @@
 
     def release(self, link: _Link) -> None:
         """Back to the top of the stack: the rest below grow old and are retired."""
+        link.resume()
         if self.closing_at is not None:
             link.drop()
             return
@@ -370,13 +442,13 @@
 
     def __init__(
         self, most: int, connect_timeout: float, idle_limit: float, drain_grace: float,
-        clock: Callable[[], int], done: Done, figures: Figures,
+        clock: Callable[[], int], done: Done, figures: Figures, begun: Begun,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
         self.open = 0
         self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
-        self.clock, self._figures = clock, figures
+        self.clock, self._figures, self.begun = clock, figures, begun
         self.most, self._whole, self._done = most, most, done
         self._grace = drain_grace * GRACE_PART
         self._pools: dict[int, _Pool] = {}
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -16,6 +16,7 @@
 import hiredis
 
 from ..interface import Repeat
+from .backends import Flow
 from .config import Config
 from .logs import Sparing
 from .resp import CommandFrames, FrameError
@@ -32,14 +33,16 @@
 FIRST_WORD = 0.5  # s in which whoever connected before the door closed may still say its first word
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
 LOOK = 0.25  # s between looks at all connections for those that have had their time
-MUTE = 2.0  # s without a whole command from connecting on, or from the first byte of one on
+MUTE = 2.6  # s without a whole command from connecting or its first byte on: slow clients need 2, 3 is late
 STUCK = 2.0  # s in which a client takes nothing of what waits for it
+STUCK_LARGE = 5.0  # the same while a large value is on its way: slow readers pause, and little is held
 IDLE = 25.0  # s at rest after a command: under the usual half minute, and calm clients come sooner
 IDLE_CROWDED = 2.0  # s at rest that every connection is granted where few are left
 CROWDED = 0.75  # part of the bound on connections from which they count as few
 LINGER = 0.75  # s that what a client still sends is read on and dropped, once all is answered
 LINGER_MOST = 1 << 20  # bytes of it; more is left unread
 BUFFER_LEAST = 96 << 10  # bytes, for each connection, of what a client has not taken: over a whole value
+RELAY_LEAST = 16 << 10  # bytes of a large value that a client may leave untaken, however many come
 BUFFER_PART = 0.125  # of the memory, for what all clients together have not taken, and likewise not been read
 SECOND = 1_000_000_000
 RETRY_FLAG = 2  # bit of `options`: a client's repeat
@@ -154,11 +157,44 @@
 class Slot:
     """The place of one answer in its connection's order."""
 
-    __slots__ = ("answer", "client", "request")
+    __slots__ = ("answer", "client", "relay", "request")
 
     def __init__(self, client: Client, request: int = -1) -> None:
         self.client, self.request = client, request
         self.answer: bytes | None = None
+        self.relay: Relay | None = None
+
+
+class Relay:
+    """A large value on its way to a client: goes out as it comes once it is its turn, and the order server
+    is read no faster than the client takes it."""
+
+    __slots__ = ("_flow", "_head", "_kept", "live", "slot")
+
+    def __init__(self, slot: Slot, length: int, flow: Flow) -> None:
+        self.slot, self._flow = slot, flow
+        self._head = b"$%d\r\n" % length
+        self._kept: list[bytes] = []  # until its turn comes
+        self.live = False
+
+    def write(self, data: bytes) -> None:
+        if self.live:
+            self.slot.client.write(data)
+        else:
+            self._kept.append(data)
+            self._flow.pause()
+
+    def start(self) -> None:
+        self.live, kept, self._kept = True, self._kept, []
+        self.slot.client.write(b"".join((self._head, *kept)))
+        self.hold(self.slot.client.blocked)
+
+    def hold(self, stop: bool) -> None:
+        (self._flow.pause if stop else self._flow.resume)()
+
+    def end(self) -> bytes:
+        """What is still to be written once the whole value has come."""
+        return b"\r\n" if self.live else b"".join((self._head, *self._kept, b"\r\n"))
 
 
 class Requests(Protocol):
@@ -268,13 +304,60 @@
 
     def pause_writing(self) -> None:
         self._blocked = self._owner.time()
-        self._unsent = cast(asyncio.Transport, self._transport).get_write_buffer_size()
+        self._unsent = self._untaken()
         self._gate()
+        self._hold_relay()
 
     def resume_writing(self) -> None:
         self._blocked = 0.0
+        self._hold_relay()
         self._go_on()
 
+    @property
+    def blocked(self) -> bool:
+        return self._blocked > 0.0
+
+    def _hold_relay(self) -> None:
+        if self.slots and (relay := self.slots[0].relay) is not None and relay.live:
+            relay.hold(self.blocked)
+
+    def _untaken(self) -> int:
+        """Bytes that the client has not taken, here and in the system: a slow reader empties that first."""
+        transport = cast(asyncio.Transport, self._transport)
+        if transport.is_closing():
+            return transport.get_write_buffer_size()
+        queued = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, b"\0" * 4)
+        return transport.get_write_buffer_size() + int(struct.unpack("i", queued)[0])
+
+    def write(self, data: bytes) -> None:
+        """Part of the answer whose turn it is."""
+        transport = cast(asyncio.Transport, self._transport)
+        if not transport.is_closing():
+            transport.write(data)
+
+    def relay(self, slot: Slot, length: int, flow: Flow) -> Relay:
+        """Begins the answer of that slot with a large value."""
+        slot.relay = Relay(slot, length, flow)
+        self._start_relay()
+        return slot.relay
+
+    def _start_relay(self) -> None:
+        if self.slots and (relay := self.slots[0].relay) is not None and not relay.live:
+            transport = cast(asyncio.Transport, self._transport)
+            transport.set_write_buffer_limits(high=self._owner.began())
+            relay.start()
+
+    def cut(self, slot: Slot, answer: bytes) -> None:
+        """A large value breaks off. Where part of it is out, the connection's end shows that it is not whole;
+        what was taken behind it can't be answered any more."""
+        relay, slot.relay = slot.relay, None
+        if relay is None or not relay.live:
+            return self.answer(slot, answer)
+        log.warning("large value broke off: its client's connection is closed")
+        self._ending = True
+        self._owner.relays -= 1
+        self.close()
+
     def _broken(self, reason: str) -> None:
         """Where the next command begins can't be known any more; what was taken before is still answered,
         or closing at once would lose it (rule 1)."""
@@ -304,6 +387,10 @@
     def answer(self, slot: Slot, answer: bytes) -> None:
         """Kept until all before it on this connection are answered."""
         slot.answer = answer
+        if slot.relay is not None:
+            self._owner.relays -= slot.relay.live
+            slot.relay = None
+            cast(asyncio.Transport, self._transport).set_write_buffer_limits(high=self._owner.buffer)
         slots, transport = self.slots, cast(asyncio.Transport, self._transport)
         if slots[0] is not slot:
             return
@@ -316,6 +403,7 @@
                 out.append(slots.popleft().answer or b"")
             transport.write(b"".join(out))
         if slots:
+            self._start_relay()
             if self._rest and len(slots) < PIPELINE:
                 self._owner.soon(self._go_on)
             return
@@ -339,10 +427,10 @@
     def look(self, now: float, crowded: bool) -> None:
         """Whether this connection has had its time."""
         if self._blocked:
-            unsent = cast(asyncio.Transport, self._transport).get_write_buffer_size()
+            unsent, large = self._untaken(), self.slots and self.slots[0].relay is not None
             if unsent < self._unsent:
                 self._blocked, self._unsent = now, unsent
-            elif now - self._blocked >= STUCK:
+            elif now - self._blocked >= (STUCK_LARGE if large else STUCK):
                 log.warning("client does not read its answers")
                 self.abort()
         elif self._lingering:
@@ -362,6 +450,8 @@
         self._release()
         slots, self.slots = self.slots, deque()
         for slot in slots:
+            self._owner.relays -= slot.relay is not None and slot.relay.live
+            slot.relay = None
             if slot.answer is None:
                 self._owner.requests.left(slot.request)
 
@@ -410,6 +500,7 @@
         self.memory = self._memory = int(config.memory * BUFFER_PART)  # bytes that all rests may hold
         self.buffer = max(BUFFER_LEAST, self.memory // most)  # bytes that one client may leave untaken
         self.held = 0  # bytes of all rests
+        self.relays = 0  # large values on their way to clients
         self._address, self._passed = config.listen, config.passed
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
@@ -460,6 +551,11 @@
                 return
         self._fresh[client] = None
 
+    def began(self) -> int:
+        """One more large value is on its way; bytes of it that its client may leave untaken."""
+        self.relays += 1
+        return max(RELAY_LEAST, min(self.buffer, self.memory // self.relays))
+
     def spoke(self, client: Client) -> None:
         """A whole command came from it: the last to be closed."""
         (self._clients if client.said else self._fresh).pop(client, None)
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -6,7 +6,7 @@
 import logging
 from collections import Counter
 from itertools import count
-from typing import Any
+from typing import Any, cast
 
 from .. import heritage
 from ..interface import (
@@ -14,6 +14,7 @@
     AddToCounter,
     Arrival,
     AttemptEnded,
+    Begun,
     Cancel,
     ClientLeft,
     CloseIdle,
@@ -37,8 +38,8 @@
     Watch,
 )
 from ..logic import Gateway
-from .backends import Attempt, Backends, ProbeAttempt, Report, monotonic_unix_ns
-from .clients import BadCall, Call, Clients, Slot
+from .backends import Attempt, Backends, Flow, ProbeAttempt, Report, monotonic_unix_ns
+from .clients import BadCall, Call, Clients, Relay, Slot
 from .config import Address, Config, needs_restart
 from .counter import Counter as QuotaCounter
 from .discovery import Discovery, ListError, Update, backend_id, parse_update
@@ -65,11 +66,12 @@
 class Request:
     """A request that was taken, until its final answer and its last attempt's end."""
 
-    __slots__ = ("attempts", "call", "closed", "out", "slot", "timer", "valid_until")
+    __slots__ = ("attempts", "bound", "call", "closed", "out", "slot", "timer", "valid_until")
 
     def __init__(self, call: Call, slot: Slot, valid_until: int) -> None:
         self.call, self.slot, self.valid_until = call, slot, valid_until
         self.closed = False
+        self.bound: Attempt | None = None  # whose large value is on its way to the client
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -99,6 +101,7 @@
         self.backends = Backends(
             int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
             settings.drain_grace / SECOND, self.now, self._attempt_ended, self._figures,
+            self._begun,
         )
         self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
@@ -301,10 +304,14 @@
         if request is not None and not request.closed:
             self._close(number, request)
             self._handle(ClientLeft(number))
+            if request.bound is not None:
+                self.backends.cancel(request.bound)
 
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
         request = self._requests[number]
+        if request.bound is not None:
+            return  # its first bytes came in time; the value's own flow says when it has broken off
         left = request.valid_until - self.now()
         if left > 0:  # timers count in milliseconds and may come early
             request.timer = self._loop.call_later(left / SECOND, self.time_is_up, number)
@@ -336,10 +343,26 @@
     def _answer(self, number: int, request: Request, answer: bytes, how: Ended) -> None:
         self._figures.end(request.call.cls, how)
         self._close(number, request)
-        request.slot.client.answer(request.slot, answer)
+        if request.bound is not None and how is not Ended.PASSED:
+            request.slot.client.cut(request.slot, answer)
+        else:
+            request.slot.client.answer(request.slot, answer)
 
     # From the backends.
 
+    def _begun(self, attempt: Attempt, length: int, flow: Flow) -> Relay | None:
+        """A large value has begun to come; None where nobody waits for it, or another one is on its way."""
+        number, request = attempt.request, self._requests[attempt.request]
+        if request.closed or request.bound is not None:
+            return None
+        request.bound = attempt
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        relay = request.slot.client.relay(request.slot, length, flow)
+        elapsed = max(0, attempt.begun - attempt.started)
+        self._handle(Begun(number, elapsed, attempt.index, attempt.backend), number)
+        return None if request.closed else relay
+
     def _attempt_ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
         elapsed = max(0, self.now() - attempt.started)
         names = self.config.settings.report_names
@@ -351,12 +374,20 @@
         number = attempt.request
         request = self._requests[number]
         request.out.pop(attempt.index, None)
-        if outcome is Outcome.OK and value is not None and not request.closed:
+        if request.bound is attempt:
+            elapsed = max(0, attempt.begun - attempt.started)  # what came after it was the network's time
+            if not request.closed and outcome is Outcome.OK:
+                relay = cast(Relay, request.slot.relay)
+                self._answer(number, request, relay.end(), Ended.PASSED)
+            elif not request.closed:
+                self._answer(number, request, b"-ERR failed\r\n", Ended.FAILED)
+        elif outcome is Outcome.OK and value is not None and not request.closed:
             self._answer(number, request, b"$%d\r\n%b\r\n" % (len(value), value), Ended.PASSED)
         # The module's figure is one more than the percentage; 0 says that none was told.
         used = 1 + min(USED_MOST, int(report["used"])) if "used" in report else 0
+        over = request.closed or request.bound is not None
         event = AttemptEnded(
-            number, request.closed, 0, attempt.backend, used, outcome, elapsed, attempt.index, load
+            number, over, 0, attempt.backend, used, outcome, elapsed, attempt.index, load
         )
         self._handle(event, number)
         self._forget(number, request)
--- a/badgerspindle/net/resp.py
+++ b/badgerspindle/net/resp.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-VALUE_MOST = 64 << 10  # bytes of one value, by the protocol
+VALUE_MOST = 64 << 10  # bytes of one value that is held whole
+LARGE_MOST = 4 << 20  # bytes of an order server's value; above `VALUE_MOST` it is passed on as it comes
 COMMAND_MOST = VALUE_MOST + 4096  # bytes of a whole command: the value, names and values, framing
 ARGUMENTS_MOST = 16  # words of a command; the longest that a client has a use for holds five
 EXTRA_MOST = 1024  # bytes of an answer's load report or figures on use
@@ -24,13 +25,15 @@
     are read as well.
     """
 
-    __slots__ = ("_open", "_part", "_size", "_value")
+    __slots__ = ("_open", "_part", "_size", "_value", "large", "large_at")
 
     def __init__(self) -> None:
         self._open: list[int] = []  # elements still to come of each array that is open
         self._part = b""  # of a header, or of the two bytes behind a value
         self._value = -1  # bytes still to come of the value that is open, -1 for none
         self._size = 0  # bytes of the message so far
+        self.large = 0  # bytes of the message's value, where they are more than are held whole
+        self.large_at = 0  # where it begins in the data in which its header ended
 
     @property
     def midway(self) -> bool:
@@ -58,6 +61,8 @@
                 if line[-2:] != b"\r\n":
                     raise FrameError("line does not end in CR LF")
                 if (length := self._header(line)) >= 0:
+                    if length > VALUE_MOST:
+                        self.large, self.large_at = length, at
                     end = at + length + 2
                     if end <= size:  # the usual case: the value has come whole
                         if data[end - 2:end] != b"\r\n":
@@ -155,7 +160,7 @@
         self._kind(kind)
         if kind == b"$":
             value = not self._open or self._open == [ANSWER_ITEMS]
-            return _length(line, VALUE_MOST if value else EXTRA_MOST, null=not value)
+            return _length(line, LARGE_MOST if value else EXTRA_MOST, null=not value)
         if kind != b"*":
             return -1
         if not self._open:
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -113,6 +113,7 @@
     out: int = 0
     tried: set[int] = field(default_factory=set)
     may_have_run: bool = False
+    begun: bool = False  # its answer has begun to flow: no server works on it any more
     keyed_at: int = 0
     keyed_by: Backend | None = None
     sent_at: int = 0
