--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -193,16 +193,17 @@
             client = await w.client()
             client.send(call())
             connection, _ = await w.backend.command()
-            answer, began = served(b"v" * 30), 0.0
+            answer, heard = served(b"v" * 30), 0.0
             for at in range(0, len(answer) - 9, 9):
                 connection.send(answer[at:at + 9])
                 (link,) = w.node.backends._pools[only_backend(w)].links
-                await until(lambda link=link, began=began: link.heard_at > began)  # type: ignore[misc]
-                began = link.heard_at
-                link.heard_at -= 59.0  # a piece a minute, as it were
+                await until(lambda link=link: link.heard_at > 0.0)  # type: ignore[misc]
+                heard = link.heard_at
+                link.heard_at = heard - 59.0  # a piece a minute, as it were
                 link._look()
                 assert link.timer is not None and link.attempt is not None
-            link.heard_at -= 61.0
+                link.heard_at = 0.0
+            link.heard_at = heard - 61.0
             link._look()
             assert w.node._ends[Outcome.RESET] == 1
 
