--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -27,7 +27,7 @@
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self.s, self.rng, self.sends = settings, rng, Mean(MEMORY)
         self.servers: dict[int, Server] = {}
-        self.banned: set[int] = set()  # by operators; outlasts whatever the list says
+        self.banned: dict[int, int] = {}  # by operators, since when; outlasts whatever the list says
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.kept = 1.0  # part of the cold backends' budgets that is this process's
@@ -44,23 +44,26 @@
             if server is None or server.entry.booted != entry.booted:
                 # A chance part of a token: with many gateways, each seldom has a whole one to spend.
                 fresh = Server(entry, Mean(MEMORY), SUSPEND, tokens=self.rng.random(), tokens_at=now)
-                fresh.out, fresh.lifted = (server.out, server.lifted) if server else (0, 0)
+                if server:
+                    fresh.out, fresh.banned_at = server.out, server.banned_at
+                    fresh.cold_from = server.cold_from
+                if entry.booted >= fresh.banned_at:
+                    fresh.cold_from = 0  # the start that was waited for: known, no longer guessed
                 self.servers[entry.id] = server = fresh
             server.entry, server.usable = entry, entry.health is Health.READY
             server.listed = entry.health is not Health.GONE
         self.count(now)
 
     def leave_out(self, now: int, backend: int, out: bool) -> None:
-        """Nothing goes to a banned backend. Afterwards it counts as started just now, since the list may tell
-        late that it was, and what it did before says nothing of it any more."""
+        """Nothing goes to a banned backend. Afterwards what it did before says nothing of it any more, and it
+        counts as started just now until the list, which may be late, tells of a start within the ban."""
         if out:
-            self.banned.add(backend)
-        elif backend in self.banned:
-            self.banned.remove(backend)
-            if server := self.servers.get(backend):
-                fresh = Server(server.entry, Mean(MEMORY), SUSPEND, server.usable, server.listed, server.out)
-                fresh.tokens, fresh.tokens_at, fresh.lifted = self.rng.random(), now, now
-                self.servers[backend] = fresh
+            self.banned.setdefault(backend, now)
+        elif (since := self.banned.pop(backend, 0)) and (server := self.servers.get(backend)):
+            fresh = Server(server.entry, Mean(MEMORY), SUSPEND, server.usable, server.listed, server.out)
+            fresh.tokens, fresh.tokens_at, fresh.banned_at = self.rng.random(), now, since
+            fresh.cold_from = now if server.entry.booted < since else 0
+            self.servers[backend] = fresh
         self.count(now)
 
     def skipped(self, now: int) -> int:
@@ -78,7 +81,7 @@
 
     def warmth(self, now: int, server: Server) -> float:
         """Part of its capacity that a backend surely has; 1 once warm."""
-        booted, start = max(server.entry.booted, server.lifted), self.s.start_capacity
+        booted, start = max(server.entry.booted, server.cold_from), self.s.start_capacity
         if not booted or now - booted >= self.s.warm_up:
             return 1.0
         return start + (1.0 - start) * max(0, now - booted) / self.s.warm_up
@@ -91,7 +94,7 @@
             return True
         # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here.
         each, span = self.sends.rate(now) / max(1, self.warm), (now - server.tokens_at) / SECOND
-        least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.lifted > 0)
+        least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.banned_at > 0)
         server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span * self.kept)
         server.tokens_at = now
         return server.tokens >= 1.0
--- a/badgerspindle/heritage.py
+++ b/badgerspindle/heritage.py
@@ -42,7 +42,8 @@
     pause: int
     fails: int
     tokens: float
-    lifted: int
+    banned_at: int
+    cold_from: int
     slow: Mean
 
 
@@ -74,11 +75,12 @@
             accounts[-1][5], account.level = account.level * NEW, account.level * OLD
     for known, server in fleet.servers.items():
         servers.append([known, server.entry.booted, server.suspended, server.pause, server.fails,
-                        server.tokens, server.lifted, _pack(server.slow)])
+                        server.tokens, server.banned_at, server.cold_from, _pack(server.slow)])
         server.tokens = 0.0
     quota.kept = fleet.kept = OLD
     return {
-        "accounts": accounts, "servers": servers, "banned": sorted(fleet.banned), "sends": _pack(fleet.sends),
+        "accounts": accounts, "servers": servers, "banned": sorted(fleet.banned.items()),
+        "sends": _pack(fleet.sends),
         "latency": [_pack(mean) for mean in model.latency], "shortest": model.shortest, "pace": quota.pace,
         "retries": gateway.retries * NEW,
     }
@@ -94,9 +96,11 @@
         ]
         if any(not 0 <= store.plan < len(settings.plans) for store in stores):
             raise ValueError("a plan that is not in the settings")
-        servers = [_Seen(int(s), int(b), int(su), int(pause), int(f), float(t), int(li), _mean(slow))
-                   for s, b, su, pause, f, t, li, slow in raw["servers"]]
-        banned, sends = {int(number) for number in raw["banned"]}, _mean(raw["sends"])
+        servers = [_Seen(int(s), int(b), int(su), int(pause), int(f), float(t), int(at), int(cold),
+                         _mean(slow))
+                   for s, b, su, pause, f, t, at, cold, slow in raw["servers"]]
+        banned = {int(number): int(since) for number, since in raw["banned"]}
+        sends = _mean(raw["sends"])
         latency = [_mean(each) for each in raw["latency"]]
         shortest = [float(each) for each in raw["shortest"]]
         if not len(latency) == len(shortest) == len(settings.classes):
@@ -116,7 +120,8 @@
         if server is None or server.entry.booted != seen.booted or server.entry.health is Health.GONE:
             continue
         server.suspended, server.pause, server.fails = seen.suspended, seen.pause, seen.fails
-        server.tokens, server.tokens_at, server.lifted = seen.tokens, now, seen.lifted
+        server.tokens, server.tokens_at = seen.tokens, now
+        server.banned_at, server.cold_from = seen.banned_at, seen.cold_from
         server.slow = seen.slow
     fleet.banned |= banned
     fleet.sends = sends
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -100,7 +100,8 @@
     met: dict[int, tuple[int, float]] = field(default_factory=dict)  # by class: when, 1 if unanswered
     tokens: float = 0.0
     tokens_at: int = 0
-    lifted: int = 0  # when an operator's ban on it ended: it may have been started anew meanwhile
+    banned_at: int = 0  # when the last ban of an operator's on it that has ended had begun
+    cold_from: int = 0  # when it counts as started where the list has not told of a start since then
 
 
 @dataclass(slots=True)
--- a/tests/test_heritage.py
+++ b/tests/test_heritage.py
@@ -75,7 +75,7 @@
     old.handle(START, LeaveOut(77, True))  # not listed at the moment
     old.fleet.servers[1].suspended, old.fleet.servers[2].tokens = START + SECOND, 1.5
     new = passed_on(old)
-    assert new.fleet.banned == {3, 77}
+    assert new.fleet.banned == {3: START, 77: START}
     assert new.fleet.servers[1].suspended == START + SECOND
     assert (old.fleet.servers[2].tokens, new.fleet.servers[2].tokens) == (0.0, 1.5)
     assert old.fleet.kept + new.fleet.kept == 1.0
@@ -98,7 +98,7 @@
 
 
 @pytest.mark.parametrize("raw", [
-    {}, broken(accounts=[[1, 2]]), broken(accounts=None), broken(servers=[["x"] * 8]), broken(banned="abc"),
+    {}, broken(accounts=[[1, 2]]), broken(accounts=None), broken(servers=[["x"] * 9]), broken(banned="abc"),
     broken(latency=[]), broken(sends=[1]), broken(pace="fast"), broken(retries=None),
     broken(accounts=[[1, 9, 2, [], 0, 1.0, 1.0, 1.0, 0, [0, 1, 0.0, 0.0], [0, 1, 0.0, 0.0]]]),
 ])
--- a/tests/test_left_out.py
+++ b/tests/test_left_out.py
@@ -74,12 +74,18 @@
     assert len([now for now in met if now < START + 3 * SECOND]) <= 8  # of 40: a warm one had a third
 
 
-def test_start_that_discovery_tells_late_does_not_make_it_warm() -> None:
+def test_called_back_it_is_cold_from_then_on_unless_the_list_tells_when_it_was_started() -> None:
     g = gateway(1, 2)
     g.handle(START, LeaveOut(1, True))
-    g.handle(START + 30 * SECOND, LeaveOut(1, False))
-    g.handle(START + 31 * SECOND, full_list(backend(1, booted=START + SECOND), backend(2)))
-    assert g.fleet.warmth(START + 32 * SECOND, g.fleet.servers[1]) < 0.5
+    g.handle(START + 5 * SECOND, LeaveOut(1, True))
+    g.handle(START + 10 * SECOND, LeaveOut(1, False))
+    now = START + 11 * SECOND
+    unknown = g.fleet.warmth(now, g.fleet.servers[1])
+    assert 0.2 <= unknown < 0.3
+    g.handle(now, full_list(backend(1, booted=START - 30 * SECOND), backend(2)))  # a start before the ban
+    assert g.fleet.warmth(now, g.fleet.servers[1]) == unknown
+    g.handle(now, full_list(backend(1, booted=START + SECOND), backend(2)))  # told late, but within it
+    assert g.fleet.warmth(now, g.fleet.servers[1]) == pytest.approx(0.6)
 
 
 def test_calling_back_one_that_was_never_left_out_changes_nothing() -> None:
