--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -54,7 +54,8 @@
 MILLISECOND = 1_000_000
 MARGIN = 10 * MILLISECOND  # before a client's time ends: its way here and back, and a loop that lags
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
-FIRST_LIST = 0.5  # s to wait for discovery's word at the start before the list last known serves
+FIRST_LIST = 0.5  # s to wait for discovery at the start before the door opens without a list
+KNOWN_LIST = 0.15  # the same where a list last known can serve meanwhile: requests already come
 TALLY = 10.0  # s between lines on how attempts ended
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 USED_MOST = 60_000  # percent of a quota in use that the module is told at most
@@ -135,7 +136,7 @@
         self._teller = self._loop.call_later(TALLY, self._tally)
         try:
             # An old list breaks no rule, but the agent next door tells the new one within milliseconds.
-            async with asyncio.timeout(FIRST_LIST):
+            async with asyncio.timeout(KNOWN_LIST if self.backends.usable() else FIRST_LIST):
                 await self._told.wait()
         except TimeoutError:
             log.warning("no word from discovery yet, starting with the list last known")
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -178,7 +178,8 @@
 
 def test_old_list_serves_while_discovery_is_down(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 0.01)
+        monkeypatch.setattr("badgerspindle.net.gateway.KNOWN_LIST", 0.01)
+        monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 600.0)  # only without a list
         node = Node(config(1, listing(5, host("s-1", 1))))
         assert node.ready()
         await soon(node.start())
