--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -156,7 +156,7 @@
         if event.outcome in (Outcome.OK, Outcome.RESET, Outcome.ERROR):
             self.broken.add(now, float(event.outcome is not Outcome.OK))
         if event.outcome is Outcome.OK:
-            server.fails, server.pause = 0, SUSPEND
+            server.fails, server.pause, server.answered_at = 0, SUSPEND, now
             server.newest = max(server.newest, now - event.elapsed)
             self.newest = max(self.newest, server.newest)
             server.slow.add(now, min(8.0, relative))
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -369,6 +369,7 @@
         self.lost = len(self.open) - len(self.held) - len(outstanding)
         self.model.fit(now, self.out - self.lost, outstanding)
         actions += self._second_copies(now)
+        actions += self._too_late(now)
         self.fleet.count(now)
         self._evaluate_all(now)
         if self.quota.gossip and now - self.told_at >= self.quota.every - TICK // 2:
@@ -449,7 +450,7 @@
         self.quota.refill(now, account)
         if account.open >= account.cap or self._over_limit(now, density):
             return [self._refusal(a)]
-        return self._within_quota(now, Open(a, account))
+        return self._within_quota(now, Open(a, account, born=now))
 
     def _within_quota(self, now: int, request: Open) -> list[Action]:
         """Decide by the store kept here, or ask whoever keeps it and hold the request a moment."""
@@ -563,6 +564,22 @@
             return 0
         return max(cls.aim // 2, int(3 * self.model.latency[a.cls].value))
 
+    def _too_late(self, now: int) -> list[Action]:
+        """While a queue has risen, what is past its aim only takes others' time and is given up. Only at
+        servers that answer: where one is silent, the attempt's time-out tells so and must come."""
+        actions: list[Action] = []
+        for request in list(self.open.values()) if self.model.risen else []:
+            a, aim = request.arrival, self.s.classes[request.arrival.cls].aim
+            server = self.fleet.servers.get(request.backend)
+            late = request.out and now - request.born >= aim
+            if late and server is not None and now - server.answered_at <= aim // 2:
+                if self.s.may_cancel:
+                    out = [i for i in range(request.sends) if (a.request, i) in self.attempts]
+                    actions += [Cancel(a.request, i) for i in out]
+                request.may_have_run = True
+                actions.append(self._end(request))
+        return actions
+
     def _second_copies(self, now: int) -> list[Action]:
         """Answers get lost one by one too, with no symptom of their server: where it answered what was sent
         later, no queue explains the wait and the class allows it, another is asked as well."""
@@ -634,13 +651,18 @@
 
     def _try_again(self, now: int, request: Open, cost: float) -> list[Action]:
         """Another attempt where the class, the time left and the retry budget allow one; else the end."""
-        a, cls = request.arrival, self.s.classes[request.arrival.cls]
+        cls = self.s.classes[request.arrival.cls]
         repeatable = not request.may_have_run or cls.repeat is not Repeat.UNSAFE
         if repeatable and self.retries >= cost and (send := self._send(now, request)):
             self.retries -= cost
             return [send]
+        return [self._end(request)]
+
+    def _end(self, request: Open) -> Refuse | Fail:
+        """The final answer of a request that is given up: a refusal where trying again is harmless."""
+        a, cls = request.arrival, self.s.classes[request.arrival.cls]
         del self.open[a.request]
         harmless = not request.may_have_run or cls.repeat is Repeat.SAFE
         if harmless or (cls.repeat is Repeat.KEYED and cls.group is Group.ALL):
-            return [self._refusal(a)]
-        return [Fail(a.request)]
+            return self._refusal(a)
+        return Fail(a.request)
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -95,6 +95,7 @@
     out: int = 0
     fails: int = 0
     suspended: int = 0
+    answered_at: int = 0  # when its last answer came
     newest: int = 0  # when the newest was sent of the attempts that it answered
     full: dict[tuple[int, int], int] = field(default_factory=dict)  # by class and plan, until when
     met: dict[int, tuple[int, float]] = field(default_factory=dict)  # by class: when, 1 if unanswered
@@ -122,4 +123,5 @@
     usual: int = 0  # ... the mean time that its answer takes ...
     overlong: int = 0  # ... and that after which it is unlikely to come
     asked_at: int = 0
+    born: int = 0  # when it arrived
     placed: bool = False  # counted as out on the counter
--- /dev/null
+++ b/tests/test_too_late.py
@@ -0,0 +1,58 @@
+"""What is past its aim while a queue has risen: given up at once, but only at servers that answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from badgerspindle.interface import Action, Arrival, Cancel, Fail, Outcome, Refuse, Send, TimerFired
+from badgerspindle.logic import EVERY_TICK, TICK, Gateway
+
+from .helpers import KEYED, MS, SAFE, SECOND, UNSAFE, arrival, backend, ended, full_list, settings
+
+START = 100 * SECOND
+
+
+def pressed(cls: int = SAFE, risen: bool = True, answered: bool = True) -> tuple[Gateway, list[Action]]:
+    """Request 1 went out an aim ago; what the next tick gives."""
+    g = Gateway(settings(may_message=False, gateways=1), 7, 0)
+    g.handle(0, full_list(backend(1)))
+    assert isinstance(g.handle(START, arrival(1, START, cls))[0], Send)
+    if answered:
+        g.handle(START + 8 * TICK, arrival(2, START + 8 * TICK, customer=2))
+        g.handle(START + 9 * TICK, ended(2, 1, elapsed=TICK))
+    fit = g.model.fit
+
+    def rise(now: int, out: int, outstanding: list[tuple[int, int]]) -> None:
+        fit(now, out, outstanding)
+        g.model.risen = risen
+
+    g.model.fit = rise  # type: ignore[method-assign]
+    early = g.handle(START + 10 * TICK - MS, TimerFired(EVERY_TICK))
+    assert not [a for a in early if isinstance(a, Cancel | Fail | Refuse)]
+    return g, g.handle(START + 10 * TICK, TimerFired(EVERY_TICK))
+
+
+@pytest.mark.parametrize(("cls", "end"), [(SAFE, Refuse), (KEYED, Fail), (UNSAFE, Fail)])
+def test_it_is_called_off_and_ended_as_its_class_allows(cls: int, end: type) -> None:
+    g, actions = pressed(cls)
+    assert [a for a in actions if isinstance(a, Cancel)] == [Cancel(1, 0)]
+    (final,) = (a for a in actions if isinstance(a, Fail | Refuse))
+    assert isinstance(final, end) and final.request == 1
+    again = g.handle(START + 11 * TICK, TimerFired(EVERY_TICK))
+    assert not [a for a in again if isinstance(a, Cancel | Fail | Refuse | Send)]
+
+
+@pytest.mark.parametrize(("risen", "answered"), [(False, True), (True, False)])
+def test_it_goes_on_where_nobody_waits_for_its_place_or_the_server_is_silent(
+    risen: bool, answered: bool
+) -> None:
+    _, actions = pressed(risen=risen, answered=answered)
+    assert not [a for a in actions if isinstance(a, Cancel | Fail | Refuse)]
+
+
+def test_calling_off_says_nothing_against_the_server() -> None:
+    g, _ = pressed()
+    g.handle(START + 10 * TICK, ended(1, 1, Outcome.CANCELLED, finished=True))
+    assert g.fleet.servers[1].fails == 0 and g.out == 0
+    sent = g.handle(START + 11 * TICK, Arrival(9, SAFE, 0, 9, START + 40 * TICK, 1.0, 1, 0, 0))
+    assert [a for a in sent if isinstance(a, Send | Refuse)]
