--- a/badgerspindle/net/succession.py
+++ b/badgerspindle/net/succession.py
@@ -187,4 +187,5 @@
         if self._server is not None:
             self._server.close()
         for link in list(self.links):
+            link.shares = False  # it is this process that goes
             link.drop()
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -164,6 +164,27 @@
     run(test)
 
 
+def test_old_process_has_everything_again_when_the_new_one_dies(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent, backend = Agent(), Backend()
+        async with listening(agent), listening(backend), passing() as sock:
+            agent.first = listing(1, host("s-1", backend.port))
+            async with serving(tmp_path, agent, backend, sock) as old:
+                async with serving(tmp_path, agent, backend, sock) as new:
+                    new.process.kill()
+                    await new.process.wait()
+                await old.logged(b"the other process is gone")
+                assert await operate(old, "/ops/order-servers/down", b"s-1") == 200
+                assert await operate(old, "/ops/order-servers/up", b"s-1") == 200
+                assert await operate(old, "/ops/readiness") == 200
+                old.process.send_signal(signal.SIGTERM)
+                assert old.process.stderr is not None
+                assert b"gone" not in await soon(old.process.stderr.read())
+                assert await soon(old.process.wait()) == 0
+
+    run(test)
+
+
 @pytest.mark.parametrize("said", [
     None, b"", b"{", b"\xff\n", b'{"v":2,"state":{}}\n', b'{"v":1,"state":{}}\n', b'{"v":1,"state":7}\n',
     b'{"v":1,"state":{"list":null,"clients":1,"backends":1,"decisions":{"accounts":[[1]]}}}\n',
