--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -641,7 +641,7 @@
         others: list[Action] = []
         if event.finished:
             self.open.pop(event.request, None)
-            if request.out and self.s.may_cancel:
+            if request.out and self.s.may_cancel and not request.begun:  # else it is the one that flows
                 others = [Cancel(event.request, i) for i in range(request.sends)
                           if (event.request, i) in self.attempts]
         # An attempt that broke off at once took no server's time, and another for it doubles nothing.
--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 log.addFilter(Sparing())
 
-STALL = 0.5  # s without a further byte of an answer that has begun; far over a slow writer's gaps
+STALL = 0.25  # s without a further byte of an answer that has begun; far over a slow writer's gaps
 STALL_LARGE = 5.0  # the same of a large value: the client has its first bytes, and no second attempt follows
 READ_MOST = 64 << 10  # bytes of an answer that the system keeps unread: what one read may bring
 SETTLE = 0.005  # s that a connection rests after an answer, where another is free: a second copy may follow
--- a/tests/test_too_late.py
+++ b/tests/test_too_late.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from badgerspindle.interface import Action, Arrival, Cancel, Fail, Outcome, Refuse, Send, TimerFired
+from badgerspindle.interface import Action, Arrival, Begun, Cancel, Fail, Outcome, Refuse, Send, TimerFired
 from badgerspindle.logic import EVERY_TICK, TICK, Gateway
 
 from .helpers import KEYED, MS, SAFE, SECOND, UNSAFE, arrival, backend, ended, full_list, settings
@@ -50,6 +50,24 @@
     assert not [a for a in actions if isinstance(a, Cancel | Fail | Refuse)]
 
 
+def test_answer_that_has_begun_to_flow_is_never_called_off() -> None:
+    g = Gateway(settings(may_message=False, gateways=1), 7, 0)
+    g.handle(0, full_list(backend(1), backend(2)))
+    (first,) = (a for a in g.handle(START, arrival(1, START)) if isinstance(a, Send))
+    second = g._send(START + MS, g.open[1], True)
+    assert second is not None and g.out == 2
+    assert g.handle(START + 2 * MS, Begun(1, 2 * MS, 0, first.backend)) == [Cancel(1, 1)]
+    assert g.out == 0
+    # The one that was called off ends: the other flows on, past its aim, and ends as it does.
+    off = ended(1, second.backend, Outcome.CANCELLED, attempt=1, finished=True)
+    assert g.handle(START + 3 * MS, off) == []
+    g.model.risen = True
+    late = g._too_late(START + 3 * SECOND) + g._second_copies(START + 3 * SECOND)
+    assert late == []
+    assert g.handle(START + 4 * SECOND, ended(1, first.backend, elapsed=2 * MS)) == []
+    assert g.out == 0 and not g.attempts and not g.open
+
+
 def test_calling_off_says_nothing_against_the_server() -> None:
     g, _ = pressed()
     g.handle(START + 10 * TICK, ended(1, 1, Outcome.CANCELLED, finished=True))
