Ask the crowded counter where a store is in doubt; trust lone requests of usual customers

The counter answers 205 calls a second and turns 15% away, 420 requests a second come; each gateway's pace falls to 0.4, and what is not asked goes to a lottery (`_alone`), the largest reason of refusal. Ruled out: order servers (none cold or out, latency at rest), caps (a tenth of the refusals). To blame: `Quota.calm` wants the meter's word of the last 3 s and less seen than an even slice, but a customer spread over 25 gateways comes here once in 20 s to 3 min, so every request asks. And a ceiling's slices: they started to fill at the first request here, and of 27 gateways or more none could ever hold a request. Now what the meter says is weighed by the quota of its period and kept for long, a customer of which little was seen counts as usual, and calls go to those in doubt first. Slices of ceilings come in whole requests and leave the granted quota out, as that comes on top. Way not taken: longer memory alone, which leaves a customer seen for the first time to the lottery.

--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -42,6 +42,8 @@
 PACE_UP, PACE_DOWN, PACE_LEAST = 0.01, 0.7, 0.05  # chance of a call to the counter: steps for an answer, none
 UNTOLD = 0.4  # chance that a place is free where even slices of a limit on open attempts are under one
 CALM = 0.75  # of a quota, by the meter, up to which a customer's store is surely not pressed
+USUAL = 0.4  # of its quota: what a customer of which little was seen is taken to use ...
+DOUBTFUL = 0.75  # ... and from where, with what was seen, its store is in doubt
 METER_SPAN = 0.5  # of a quota, around all used: the meter's word goes from surely room to surely none
 ADVICE = SECOND // 5  # wait told to a refused client: longer left room unused, and floods do not heed it
 ADVICE_PART = 6  # ... of its aim at most: it runs on from the first try, and a later one is worth nothing
@@ -77,8 +79,9 @@
         if account is None:
             # A restarted home knows no store: half of it errs as little either way.
             level = plan.burst * (0.5 if self.restarted and self.homes else 1.0)
-            times = now, now, -EVALUATE_EVERY, -SILENT, -SILENT
-            means = Mean(MEMORY), Mean(MEMORY), Mean(3 * LONG), Mean(LONG)
+            # Of a customer that never came here nothing was spent: its slices filled since the start.
+            times = self.born if self.counter and spread else now, now, -EVALUATE_EVERY, -SILENT, -SILENT
+            means = Mean(MEMORY), Mean(MEMORY), Mean(3 * LONG), Mean(LONG), Mean(3 * LONG)
             account = Account(customer, plan, index, customer % n, level, *times, *means)
             account.ceiling = plan.ceiling_slack * POOLED * (self.homes and self.at_home(account))
             self.accounts[customer] = account
@@ -91,7 +94,8 @@
         starts with its part of the slack alone: a restarted gateway cannot know that it is one."""
         named = [(first + i) % self.s.gateways for i in range(n)] if self.gossip else []
         account.peers = tuple(p for p in named if p != self.s.position)
-        account.slices = n + ((self.s.position - first) % self.s.gateways >= n)
+        account.rank = (self.s.position - first) % self.s.gateways
+        account.slices = n + (account.rank >= n)
         plan, even = account.plan, account.plan.burst / account.slices
         account.level = even if self.gossip and self.restarted else account.level
         chance = even / max(self.s.largest, 1e-9)
@@ -118,22 +122,33 @@
         if dt:
             account.level = min(plan.burst * share, account.level + plan.rate * share * dt)
         account.part = min(max(plan.burst * even, self.s.largest), account.part + plan.rate * even * dt)
-        if account.untold and self.calm(now, account):
+        if account.untold and self.likely(now, account):
             # What a store that is not pressed has filled up again needs no word.
             account.untold = max(0.0, account.untold - plan.rate * dt)
-        even = (1.0 - POOLED) * even + POOLED * self.kept * self.at_home(account) if self.homes else even
-        account.ceiling = min(plan.ceiling_burst * even, account.ceiling + plan.ceiling_rate * even * dt)
+        rate, burst = plan.ceiling_rate, plan.ceiling_burst
+        if self.homes:
+            even = (1.0 - POOLED) * even + POOLED * self.kept * self.at_home(account)
+        elif self.counter and account.slices > 1:
+            # What the counter grants comes on top. Where an even slice is less than a request, nobody could
+            # ever spend it: it is in as many whole ones, with the first of the customer's set.
+            rate, burst = max(0.0, rate - plan.rate), max(0.0, burst - plan.burst)
+            whole = int(burst / self.s.largest)
+            even = even if whole >= account.slices else self.kept * (account.rank < whole) / max(1, whole)
+        account.ceiling = min(burst * even, account.ceiling + rate * even * dt)
 
     def may(self, now: int, account: Account, units: float) -> bool:
         """The ceiling's slice, and open attempts: others' count while word is new, else an even slice."""
         limit, told = account.plan.open_limit, now - account.open_at < FRESH // 4
         most = ceil(limit / (1 if told else max(1, account.slices)))
         few = not limit or account.open + told * account.others < most
-        return few and (not account.plan.ceiling_rate or account.ceiling >= units)
+        return few and self.below_ceiling(account, units)
+
+    def below_ceiling(self, account: Account, units: float) -> bool:
+        return not account.plan.ceiling_rate or account.ceiling >= units
 
     def book(self, account: Account, units: float, pays: bool) -> bool:
         within = not account.plan.rate or account.level >= units
-        if not (within or pays) or (account.plan.ceiling_rate and account.ceiling < units):
+        if not (within or pays) or not self.below_ceiling(account, units):
             return False
         account.ceiling -= units
         if within and account.plan.rate:
@@ -146,20 +161,47 @@
         new, seen = now - account.metered_at < SILENT, account.seen.rate(now) * account.seen.value
         return new and account.metered < CALM and seen < CALM * account.plan.rate / max(1, account.slices)
 
+    def likely(self, now: int, account: Account) -> bool:
+        """Whether the store likely has room, where word is too rare to be sure: a usual customer, corrected
+        by what was seen here and told by the meter, each weighed by the quota of the time it covers."""
+        usual, rate = USUAL * self.s.largest, account.plan.rate
+        told = account.used.blend(now, USUAL, self.s.largest)
+        # The one request that is decided on says nothing.
+        seen = max(0.0, account.seen.rate(now) * account.seen.value * LONG / SECOND - self.s.largest)
+        here = rate * LONG / SECOND / max(1, account.slices)
+        return max(told, (usual + seen) / (self.s.largest + here)) < DOUBTFUL
+
+    def trusted(self, now: int, account: Account, units: float) -> bool:
+        """Without a call to spare, a little of a store that likely has room needs nobody's word."""
+        little = account.untold + units <= max(self.s.largest, LAG * account.plan.burst)
+        trusted = little and account.level >= units and self.may(now, account, units)
+        return self.counter and trusted and self.likely(now, account)
+
+    def chance(self, trusted: bool) -> float:
+        """Of a call: a crowded counter is asked where there is doubt before it is where there is none."""
+        return min(1.0, max(0.0, 2.0 * self.pace - trusted))
+
+    def spend(self, account: Account, units: float) -> None:
+        """From the slices, and the store is to be told later."""
+        account.part = max(0.0, account.part - units)
+        account.ceiling -= units
+        account.level -= units
+        account.untold += units
+
     def from_slice(self, now: int, account: Account, units: float) -> bool:
         """While the meter finds the store unpressed, a little of the even slice needs nobody's word."""
         little = account.untold + units <= max(self.s.largest, LAG * account.plan.burst) <= account.part
         if not (little and self.calm(now, account) and self.may(now, account, units)):
             return False
-        account.part -= units
-        account.ceiling -= units
-        account.level -= units
-        account.untold += units
+        self.spend(account, units)
         return True
 
     def alone(self, now: int, account: Account, units: float) -> bool:
         """Without the store's word: by the even slice, else by chance, as home, counter or meter lately said
         of this customer, or else of its plan. That ages away, and even slices are left."""
+        if self.trusted(now, account, units):
+            self.spend(account, units)
+            return True
         usual, even = self.granted[account.index].blend(now, 0.0, 0.1), account.part >= units
         # Seen here more than its even slice, beyond the one request that says nothing, a customer is busy.
         seen, one = account.seen.rate(now) * account.seen.value, units * SECOND / LONG
@@ -182,7 +224,8 @@
         if self.homes:
             return self.tag, self._tell(now, account.home, account, kind, units, self.tag)
         # While not all are counted, each that is stands for those that are not.
-        amount = units / self.pace + self.place(account)
+        amount = units / (1.0 if self.trusted(now, account, units) else self.chance(False))
+        amount += self.place(account)
         return self.tag, self.call(now, account, amount, self.tag * (kind == Kind.ASK))
 
     def _tell(self, now: int, to: int, account: Account, kind: Kind, units: float, tag: int) -> Action:
@@ -465,12 +508,15 @@
                 return [self._refusal(a)]  # the most that the store can hold by now
         # Word this fresh is acted on at once, and the use told afterwards: no wait where gateways are few.
         knows = quota.counter and now - account.told_at < FRESH // 4
+        if knows and account.level >= a.units and not quota.below_ceiling(account, a.units):
+            knows = False  # there is room, though not in this slice of the ceiling: the counter may grant it
         if knows or quota.at_home(account):
             may = pays or quota.may(now, account, a.units)
             if not may or not quota.book(account, a.units, pays):
                 return [self._refusal(a)]
             return self._admit(now, request, knows)
-        if not (quota.homes or (quota.counter and self.rng.random() < quota.pace)):
+        trusted = quota.trusted(now, account, a.units)
+        if not (quota.homes or (quota.counter and self.rng.random() < quota.chance(trusted))):
             return self._alone(now, request)
         if pays and not plan.ceiling_rate:
             return self._admit(now, request, False)
@@ -629,6 +675,7 @@
         self.out -= not request.begun
         if event.used:
             account.metered_at, account.metered = now, (event.used - 1) / 100
+            account.used.add(now, account.metered, account.plan.rate * self.s.meter_period / SECOND)
             account.granted.add(now, min(1.0, max(0.0, 0.5 + (1.01 - event.used / 100) / METER_SPAN)))
         if event.outcome is Outcome.OK:
             self.model.latency[cls].add(now, event.elapsed)
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -63,9 +63,11 @@
     demand: Mean
     granted: Mean  # 1 for units granted, 0 for denied
     seen: Mean  # units asked for here, remembered longer than the demand
+    used: Mean  # parts of the quota in use, by the meter, weighed by the quota of the period that they cover
     ceiling: float = 0.0
     part: float = 0.0  # this gateway's even slice of the store
     peers: tuple[int, ...] = ()
+    rank: int = 0  # this gateway's place in the customer's set
     slices: int = 0  # gateways among which it is sliced; 0 where none of its requests came here yet
     cap: int = 0
     open: int = 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -359,7 +359,9 @@
 def test_each_counted_try_stands_for_those_not_counted() -> None:
     g = Gateway(settings(gateways=MANY, may_message=False, counter=True), 7, 0)
     g.handle(0, full_list(backend(1)))
-    g.quota.pace = 0.5
+    g.quota.pace = 0.25
+    for i in range(20):
+        g.quota.account(0, i, 0, MANY, 0).seen.add(0, 1.0, 5.0)  # seen often: in doubt
     calls = [a for i in range(20) for a in g.handle(MS, arrival(i, MS, customer=i, spread=MANY))]
     amounts = {a.amount for a in calls if isinstance(a, AddToCounter)}
     assert amounts == {2.0}
@@ -433,3 +435,58 @@
     ManyBench(may_message=False, counter=True).play(steps)
 
 
+
+
+CEILING = plan(
+    rate=5.5, burst=11.0, over_cost=0.5, ceiling_rate=13.0, ceiling_burst=26.0, ceiling_slack=3.0
+)
+
+
+def many_slices(position: int = 0, customer_plan: Any = None, **changes: Any) -> Gateway:
+    plans = (customer_plan or plan(rate=0.4, burst=2.0, over_cost=0.5),)
+    made = Gateway(settings(gateways=40, position=position, may_message=False, counter=True, plans=plans,
+                            meter_period=SECOND // 2, **changes), position + 7, 0)
+    made.handle(0, full_list(*(backend(i) for i in range(1, 9))))
+    return made
+
+
+def test_crowded_counter_is_left_alone_by_lone_requests_of_usual_customers() -> None:
+    """Of 25 gateways' slices none holds a request: what comes once is trusted, more is not."""
+    g = many_slices()
+    g.quota.pace = 0.5
+    first = [a for i in range(50) for a in g.handle(MS, arrival(i, MS, customer=i, spread=25))]
+    assert len([a for a in first if isinstance(a, Send)]) == 50
+    assert not calls(first)
+    again = [a for i in range(50) for a in g.handle(9 * MS, arrival(50 + i, 9 * MS, customer=i, spread=25))]
+    assert [a.amount for a in calls(again)] == [2.0] * 50  # with what the store was not told of
+
+
+@pytest.mark.parametrize(("used", "asked"), [(1, 0), (501, 1)])
+def test_meters_rare_word_on_a_customer_outlasts_lulls_between_its_requests(used: int, asked: int) -> None:
+    g = many_slices()
+    g.quota.pace = 0.5
+    (sent,) = [a for a in g.handle(MS, arrival(1, MS, spread=25)) if isinstance(a, Send)]
+    g.handle(400 * MS, replace(ended(1, sent.backend), used=used))
+    later = 15 * SECOND
+    assert len(calls(g.handle(later, arrival(2, later, spread=25)))) == asked
+
+
+def test_slices_of_a_ceiling_are_whole_requests_and_add_up_to_no_more_than_it() -> None:
+    """An even slice of under one request could never be spent; the first one here came to an empty one."""
+    passed, now = 0, 10 * SECOND
+    for position in range(40):
+        g = many_slices(position, CEILING)
+        g.quota.granted[0].add(now, 1.0, 100.0)
+        g.quota.pace = 0.0
+        for i in range(5):
+            passed += sum(isinstance(a, Send) for a in g.handle(now, arrival(i, now, spread=40, first=0)))
+    assert 10 <= passed <= 26 - 11 + 3
+
+
+def test_short_slice_of_a_ceiling_does_not_refuse_what_the_store_has_room_for() -> None:
+    g = many_slices(39, CEILING)
+    for i in range(1, 3):
+        (call,) = calls(asked := g.handle(i * MS, arrival(i, i * MS, spread=40, first=0)))
+        assert not [a for a in asked if isinstance(a, Refuse)]
+        granted = g.handle(i * MS + 1, Counted(1, Outcome.OK, call.name, i * call.amount))
+        assert [type(a) for a in granted if not isinstance(a, AddToCounter)] == [Send]
