Hold a part of the order servers at each gateway, ten gateways to each order server

To blame: `Fleet.choose` takes the minimum over all order servers, `Fleet.wait` scales by all gateways. Now a gateway holds so many in a row from its place on the sorted ring that each order server has ten gateways; who shows symptoms is passed over and the next takes its place, and others are taken only if none is ready. In fleets of up to ten gateways everybody holds all, as before. Way not taken: random or rendezvous subsets, with which one order server has three gateways and another twelve.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -13,6 +13,8 @@
 
 COLD_FIRST = 0.7  # expected wait at a cold backend whose budget allows a request, against a warm one's
 DOUBTED = 3.0  # added cost of a backend that lately turned the like away or left it unanswered
+HOLDERS = 10  # gateways that hold a backend: each hears of it often, and it has few connections to keep
+TOKENS_SPAN = 1.0  # s of a cold backend's budget that may be saved up while nothing was to go there
 OTHERS = 2.0  # attempts out here that say as much of others' at a backend as the mean over backends does
 SUSPEND, SUSPEND_MOST = SECOND // 2, 8 * SECOND  # first exclusion of a backend with symptoms; doubles up to
 FAILS = 2  # failures in a row that count as a symptom: one may be chance
@@ -32,6 +34,7 @@
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.kept = 1.0  # part of the cold backends' budgets that is this process's
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
+        self.ring: list[int] = []  # usable backends in an order that is the same at every gateway
 
     def learn(self, now: int, event: Topology) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -75,9 +78,24 @@
         # or memory and the choice's work would grow with all that ever were.
         for gone in [i for i, s in self.servers.items() if not s.listed and not s.out]:
             del self.servers[gone]
-        usable = [s for s in self.servers.values() if s.usable and s.entry.id not in self.banned]
-        self.warm = sum(self.warmth(now, s) >= 1.0 for s in usable)
-        self.usual = sum(s.out for s in usable) / max(1, len(usable))
+        self.ring = sorted(i for i, s in self.servers.items() if s.usable and i not in self.banned)
+        held = self.held(now)
+        self.warm = sum(self.warmth(now, s) >= 1.0 for s in held)
+        self.usual = sum(s.out for s in held) / max(1, len(held))
+
+    def held(self, now: int) -> list[Server]:
+        """This gateway's part of the backends: so many in a row from its place on the ring that each backend
+        has the same few gateways. Who has symptoms is passed over: the next on the ring takes its place."""
+        n, gateways = len(self.ring), max(1, self.s.gateways)
+        start, most = self.s.position * n // gateways, -(-n * HOLDERS // gateways)
+        held: list[Server] = []
+        for i in range(n):
+            server = self.servers[self.ring[(start + i) % n]]
+            if now >= server.suspended:
+                held.append(server)
+                if len(held) == most:
+                    break
+        return held
 
     def warmth(self, now: int, server: Server) -> float:
         """Part of its capacity that a backend surely has; 1 once warm."""
@@ -93,7 +111,8 @@
         if warmth >= 1.0:
             return True
         # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here.
-        each, span = self.sends.rate(now) / max(1, self.warm), (now - server.tokens_at) / SECOND
+        span = min(TOKENS_SPAN, (now - server.tokens_at) / SECOND)
+        each = self.sends.rate(now) / max(1, self.warm)
         least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.banned_at > 0)
         server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span * self.kept)
         server.tokens_at = now
@@ -104,13 +123,18 @@
         less the fewer they are. Slowness ages, or a backend once bad would never be tried again."""
         far = self.s.cross_zone_price * (server.entry.zone != self.s.zone)
         slow = min(4.0, max(0.5, server.slow.blend(now, 1.0, 3.0)))
-        others = (OTHERS + server.out) / (OTHERS + self.usual) * self.usual * (self.s.gateways - 1)
+        others = (OTHERS + server.out) / (OTHERS + self.usual) * self.usual
+        others *= min(HOLDERS, self.s.gateways) - 1
         cold = COLD_FIRST if self.warmth(now, server) < 1.0 else 1.0
         return (1.0 + server.out + others) * slow * cold + far
 
     def choose(self, now: int, kind: tuple[int, int], avoid: set[int], allowed: Filter) -> Server | None:
-        able = (s for s in self.servers.values() if s.entry.id not in avoid and allowed(s.entry))
-        ready, unknown = [s for s in able if self.ready(now, s)], self.silence[kind[0]].blend(now, 0.0, 3.0)
+        unknown = self.silence[kind[0]].blend(now, 0.0, 3.0)
+        able = (s for s in self.held(now) if s.entry.id not in avoid and allowed(s.entry))
+        ready = [s for s in able if self.ready(now, s)]
+        if not ready:  # elsewhere, but nobody reckons with that at a cold one
+            warm = (s for i, s in self.servers.items() if i not in avoid and self.warmth(now, s) >= 1.0)
+            ready = [s for s in warm if allowed(s.entry) and self.ready(now, s)]
 
         def cost(s: Server) -> float:
             # A backend may turn one plan away or leave one class unanswered, and serve the rest: what the
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -490,3 +490,36 @@
         assert not [a for a in asked if isinstance(a, Refuse)]
         granted = g.handle(i * MS + 1, Counted(1, Outcome.OK, call.name, i * call.amount))
         assert [type(a) for a in granted if not isinstance(a, AddToCounter)] == [Send]
+
+
+def holders(gone: set[int], gateways: int = 40, servers: int = 60) -> dict[int, int]:
+    """By backend, how many gateways hold it once those that are gone have shown symptoms everywhere."""
+    numbers = random.Random(5).sample(range(1 << 32), servers)
+    count = dict.fromkeys(numbers, 0)
+    for position in range(gateways):
+        g = Gateway(settings(position=position, gateways=gateways, may_message=False), position, 0)
+        g.handle(0, full_list(*(backend(number) for number in numbers)))
+        for at in gone:
+            g.fleet.servers[numbers[at]].suspended = SECOND
+        for server in g.fleet.held(0):
+            count[server.entry.id] += 1
+    return count
+
+
+def test_each_backend_of_a_large_fleet_has_the_same_few_gateways_also_when_half_are_lost() -> None:
+    assert set(holders(set()).values()) <= {9, 10, 11}
+    assert min(sorted(holders(set(range(30))).values())[30:]) >= 10
+    assert set(holders(set(), 3, 9).values()) == {3}  # of a small fleet everybody holds all
+
+
+def test_cold_backend_saves_up_no_budget_while_it_is_not_held() -> None:
+    g = Gateway(settings(gateways=40, may_message=False), 7, 0)
+    g.handle(0, full_list(backend(1, booted=1), backend(2)))
+    for i in range(400):
+        g.fleet.sends.add(i * 5 * MS, 1.0)
+    cold = g.fleet.servers[1]
+    cold.tokens, cold.tokens_at = 0.0, 0
+    g.fleet.sends.add(10 * SECOND, 200.0, 200.0)
+    g.fleet.ready(10 * SECOND, cold)
+    one = g.fleet.warmth(10 * SECOND, cold) * g.fleet.sends.rate(10 * SECOND)
+    assert cold.tokens <= min(2.0, one)
