Judge the rise of the queue by all classes' answers together, and let it end

To blame: `QueueModel.fit` remembers each class for as long as 8 answers of it take, 10 s at 1 a second, and weighs a mean however old. All classes wait in one queue, so one memory for 8 answers of any does, and with no answers the rise ages to none. A class's own mean, for time-outs and its shortest latency, stays as it was.

--- a/badgerspindle/heritage.py
+++ b/badgerspindle/heritage.py
@@ -126,7 +126,9 @@
     fleet.banned |= banned
     fleet.sends = sends
     fleet.count(now)
-    gateway.model.latency, gateway.model.shortest = latency, shortest
+    for mine, mean in zip(gateway.model.latency, latency, strict=True):
+        mine.at, mine.memory, mine.total, mine.weight = mean.at, mean.memory, mean.total, mean.weight
+    gateway.model.shortest = shortest
     quota.pace, gateway.retries = min(1.0, max(0.0, pace)), retries
     quota.kept = fleet.kept = NEW
 
--- a/badgerspindle/model.py
+++ b/badgerspindle/model.py
@@ -6,15 +6,16 @@
 from math import ceil
 
 from .interface import Settings
-from .state import LONG, MEMORY, SECOND, Mean
+from .state import LONG, MEMORY, SECOND, Latency, Mean, decayed
 
 Goal = Callable[[int], bool]
 
 # Tuned values: unit and reason behind each; times are chosen against aims of the order of a second.
 TICK = SECOND // 10  # the module's own beat: refits the model, tells peers; a tenth of usual aims
-SAMPLES = 8.0  # answers that a class's recent latency rests on; where few come, memory is longer for it
+SAMPLES = 8.0  # answers that a recent latency rests on; where few come, memory is longer for it
 DELAY_GROWTH = 0.01  # part a second by which a shortest latency is forgotten upwards
 RISE = 0.15  # part of the room between delay and aim from which a wait is a rise; below it is noise
+AIM_RESTS = 8  # latencies without a queue that an aim may hold, where none was seen yet
 TARGET = 0.4  # part of the room between delay and aim that the mean wait may take: latencies vary
 
 
@@ -28,12 +29,16 @@
     return times
 
 
+def _memory(rate: float) -> int:
+    return int(min(LONG, max(MEMORY, SAMPLES * SECOND / max(1e-3, rate))))
+
+
 class QueueModel:
     """Delay plus one shared queue; the demand is fitted to recent latency at the recent number in flight."""
 
     def __init__(self, settings: Settings) -> None:
         self.aims = [float(c.aim) for c in settings.classes]
-        self.latency = [Mean(MEMORY) for _ in settings.classes]
+        self.latency = [Latency() for _ in settings.classes]
         self.shortest = [0.0] * len(self.aims)
         self.in_flight, self.risen = Mean(MEMORY), False
         self.delay, self.mean, self.times = 0.0, 0.0, [0.0]
@@ -43,21 +48,27 @@
         """Refit; outstanding attempts older than the mean count as answers that late, to see jams in time."""
         self.in_flight.add(now, out)
         total = weight = delay = room = 0.0
+        # All classes wait in one queue: its rise is told by as many answers of any, and sooner over again.
+        memory = _memory(sum(latency.fresh.rate(now) for latency in self.latency))
         for cls, latency in enumerate(self.latency):
-            latency.memory = int(min(LONG, max(MEMORY, SAMPLES * SECOND / max(1e-3, latency.rate(now)))))
+            latency.memory, latency.fresh.memory = _memory(latency.rate(now)), memory
             if latency.weight < 0.5:
                 continue
             ages = [age for c, age in outstanding if c == cls and age > latency.value]
-            w = latency.weight + len(ages)
-            mean = (latency.total + sum(ages)) / w
+            left = decayed(now - latency.fresh.at, memory)
+            w = latency.fresh.weight * left + len(ages)
             if latency.weight >= 4.0:
                 grown = self.shortest[cls] * (1.0 + DELAY_GROWTH * TICK / SECOND)
                 self.shortest[cls] = min(grown, latency.value) if grown else latency.value
-            total, weight, delay = total + mean * w, weight + w, delay + (self.shortest[cls] or mean) * w
+            rest = self.shortest[cls] or latency.value
+            total += latency.fresh.total * left + sum(ages)
+            weight, delay = weight + w, delay + rest * w
             room += w * self.room(cls)
         self.risen, self.limit, n = False, None, ceil(self.in_flight.value)
-        if weight:
-            self.mean, self.delay = total / weight, min(delay / weight, total / weight)
+        if weight > 1e-6:
+            # One answer at rest is taken as given: when none come any more, no rise is left.
+            self.mean, self.delay = (total + delay / weight) / (weight + 1.0), delay / weight
+            self.delay = min(self.delay, self.mean)
             self.risen = self.mean - self.delay > RISE * room / weight and n > 1
         if self.risen:
             self._fit_demand(n)
@@ -75,6 +86,10 @@
     def room(self, cls: int) -> float:
         return max(self.aims[cls] - self.shortest[cls], self.aims[cls] / 4)
 
+    def rest(self, cls: int) -> float:
+        """A class's latency without a queue, as far as known: where no answer came, by its aim."""
+        return self.shortest[cls] or self.latency[cls].value or self.aims[cls] / AIM_RESTS
+
     def response(self, n: float) -> float:
         return self.times[min(max(0, round(n)), len(self.times) - 1)]
 
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -45,6 +45,20 @@
         return self.total / self.weight if self.weight > 1e-9 else 0.0
 
 
+class Latency(Mean):
+    """A class's mean latency, and beside it what came of late, for a mean that is shared by all classes."""
+
+    __slots__ = ("fresh",)
+
+    def __init__(self) -> None:
+        super().__init__(MEMORY)
+        self.fresh = Mean(MEMORY)
+
+    def add(self, now: int, value: float, weight: float = 1.0) -> None:
+        super().add(now, value, weight)
+        self.fresh.add(now, value, weight)
+
+
 @dataclass(slots=True)
 class Account:
     """What this gateway knows of one customer: its commitment, its bucket, its slices."""
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -96,3 +96,35 @@
             model.fit(now + tick * TICK, 2, [])
     assert model.risen
     assert model.limit is not None
+
+
+def test_rise_that_is_over_is_seen_within_seconds_where_each_class_has_few_answers() -> None:
+    """Three answers a second, each of another class: a jam of 10 s is judged by all of them together."""
+    model = QueueModel(settings())
+    risen = []
+    for i in range(180):
+        now = i * SECOND // 3
+        jam = 20 * SECOND <= now < 30 * SECOND
+        model.latency[i % 3].add(now, (900 if jam else 100) * MS)
+        for tick in range(3):
+            model.fit(now + tick * TICK, 3, [])
+        risen.append(model.risen)
+    assert any(risen[66:90])
+    assert not any(risen[3 * 36:])
+
+
+def test_rise_is_not_kept_when_no_answers_come_any_more() -> None:
+    model = loaded_model(900 * MS, 20)
+    assert model.risen
+    model.fit(120 * SECOND, 2, [])
+    assert not model.risen
+
+
+def test_class_without_answers_takes_its_rest_from_its_aim() -> None:
+    model = QueueModel(settings())
+    assert 0.0 < model.rest(0) < model.aims[0]
+    for i in range(40):
+        model.latency[0].add(i * 20 * MS, 100 * MS)
+    model.fit(SECOND, 1, [])
+    assert model.rest(0) == pytest.approx(100 * MS)
+    assert model.rest(1) > MS
