--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -482,9 +482,9 @@
         account.last, cls = now, self.s.classes[a.cls]
         account.demand.add(now, a.units)
         account.seen.add(now, a.units)
-        density = cls.worth * account.plan.price * a.units / max(1.0, self.model.shortest[a.cls])
+        density = cls.worth * account.plan.price * a.units / max(1.0, self.model.rest(a.cls))
         account.worth += 0.2 * (density - account.worth)
-        self.arrivals.setdefault((a.cls, a.plan), Mean(MEMORY)).add(now, density)
+        self.arrivals.setdefault((a.cls, a.plan), Mean(LONG)).add(now, density)
         room = TARGET * self.model.room(a.cls)
         account.room = min(account.room, room) * 1.01 if account.room else room
         account.aim = max(account.aim, cls.aim)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -523,3 +523,19 @@
     g.fleet.ready(10 * SECOND, cold)
     one = g.fleet.warmth(10 * SECOND, cold) * g.fleet.sends.rate(10 * SECOND)
     assert cold.tokens <= min(2.0, one)
+
+
+def test_restarted_gateway_refuses_the_cheap_before_the_dear_though_it_has_no_answer_of_them() -> None:
+    """A class never answered here ranked as if it took no time: stock checks before payments."""
+    g = many_slices()
+    g.quota.pace = 0.0
+    for i in range(30):
+        g.model.latency[UNSAFE].add(i * 50 * MS, 150 * MS)
+    g.model.fit(2 * SECOND, 1, [])
+    for customer in range(20):
+        cls = UNSAFE if customer % 2 else 0
+        g.handle(2 * SECOND, arrival(customer, 2 * SECOND, cls, customer=customer, spread=25))
+    g.model.limit, g.out = 100, 80
+    asked = {cls: arrival(90 + cls, 2 * SECOND, cls, customer=90 + cls, spread=25) for cls in (0, UNSAFE)}
+    refused = {cls: isinstance(g.handle(2 * SECOND, each)[0], Refuse) for cls, each in asked.items()}
+    assert refused == {0: True, UNSAFE: False}
