Call a discovery that turns calls away again after 1 to 16 s, not 0.05 to 2

On the list last known they send to order servers that drain or are gone: 930 attempts turned away and 376 refused connects in 3 s, and the queue at the rest rises (latency 0.6 to 1.4 s). To blame: `Discovery._run` doubles from 0.05 s to 2 s whatever ended the watch; so a whole fleet keeps a queue before discovery in which all wait too long. Now 503 and 429 start at 1 s and double to 16 s, or as Retry-After says, with jitter both ways; a watch that broke, as of the agent next door, is taken up as soon as before.

--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -21,6 +21,7 @@
 SILENCE = 5.0  # s without a byte: an idle watch brings an empty line every 2 s, so two were missed
 CONNECT = 1.0  # s for the agent, which is on this machine
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a good line resets it
+CROWDED_FIRST, CROWDED_MOST = 1.0, 16.0  # the same where discovery turns the call away: all gateways call it
 LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
 LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
 MILLISECOND = 1_000_000
@@ -90,7 +91,7 @@
         self._index = index
         self._told = told
         self._hosts: dict[str, Any] = {}  # the list as it was told last, for the next process
-        self._backoff = BACKOFF_FIRST
+        self._backoff, self._crowded = BACKOFF_FIRST, 0.0
         self._closed = False
         self._leaving: dict[int, int] = {}  # backends told to drain or be gone, and when each had started
         self._task: asyncio.Task[None] | None = None
@@ -103,7 +104,7 @@
         if agent == self._agent or self._closed:
             return
         log.info("discovery moves to %s:%d", *agent)
-        self._agent, self._backoff = agent, BACKOFF_FIRST
+        self._agent, self._backoff, self._crowded = agent, BACKOFF_FIRST, 0.0
         if self._task is not None:
             self._task.cancel()
             self.start()
@@ -127,6 +128,11 @@
                 log.warning("discovery: %s", error or type(error).__name__)
             finally:
                 watch.close()
+            if watch.turned_away:
+                # Called again at once by a whole fleet, it serves nobody; the list last known serves meanwhile.
+                self._crowded = min(CROWDED_MOST, max(CROWDED_FIRST, 2 * self._crowded, watch.retry_after))
+                await asyncio.sleep(self._crowded * random.uniform(0.5, 1.5))
+                continue
             # Jitter, or gateways whose agents broke together would come back together.
             await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
             self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
@@ -177,7 +183,12 @@
                 self._leaving[entry.id] = entry.booted
         while len(self._leaving) > LEAVING_MOST:
             del self._leaving[next(iter(self._leaving))]
-        self._index, self._backoff = update.topology.version, BACKOFF_FIRST
+        self._index, self._backoff, self._crowded = update.topology.version, BACKOFF_FIRST, 0.0
+
+
+def read_seconds(text: bytes) -> float:
+    """A Retry-After in seconds; a date or anything else says nothing."""
+    return min(CROWDED_MOST, float(text)) if text.isdigit() and len(text) < 6 else 0.0
 
 
 class _Watch(asyncio.Protocol):
@@ -189,6 +200,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._host, self._index, self._line = host, index, line
         self._rest = b""
+        self.turned_away, self.retry_after = False, 0.0  # s
         self._heard_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
@@ -220,6 +232,8 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.Response) and event.status_code != 200:
+                    self.turned_away = event.status_code in (429, 503)
+                    self.retry_after = read_seconds(dict(event.headers).get(b"retry-after", b""))
                     return self._end(f"status {event.status_code}")
                 if isinstance(event, h11.Data):
                     self._lines(bytes(event.data))
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from typing import Any
 
@@ -325,3 +326,50 @@
             assert s.events == [PeerMessage(1, b"word")]
 
     run(test)
+
+
+class Crowded(Agent):
+    """Discovery that turns so many calls away before it answers."""
+
+    def __init__(self, times: int, header: bytes = b"") -> None:
+        super().__init__()
+        self.left, self.header, self.calls = times, header, 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.calls += 1
+        self.left -= 1
+        if self.left >= 0:
+            writer.write(b"HTTP/1.1 503 Busy\r\n" + self.header + b"Content-Length: 0\r\n\r\n")
+            return
+        line = json.dumps(listing(41, host("s-1", 1))).encode() + b"\n"
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(line), line))
+
+
+@pytest.mark.parametrize(
+    ("header", "least"), [(b"", 1.0), (b"Retry-After: 7\r\n", 7.0), (b"Retry-After: x\r\n", 1.0)]
+)
+def test_call_that_discovery_turns_away_is_made_again_ever_later_until_a_list_comes(
+    monkeypatch: pytest.MonkeyPatch, header: bytes, least: float,
+) -> None:
+    """A fleet that calls again within milliseconds keeps a crowded discovery from serving anybody."""
+    waits: list[float] = []
+    sleep = asyncio.sleep
+
+    async def short(delay: float) -> None:
+        waits.append(delay)
+        await sleep(0)
+
+    async def test() -> None:
+        agent = Crowded(6, header)
+        async with listening(agent):
+            monkeypatch.setattr(asyncio, "sleep", short)
+            f = Follower(agent, None)
+            assert (await f.next()).topology.version == 41
+            monkeypatch.undo()
+            assert agent.calls == 7 and len(waits) == 6
+            assert waits[0] >= 0.5 * least
+            assert 8.0 <= waits[5] <= 1.5 * discovery.CROWDED_MOST
+            await f.watch.close()
+
+    run(test)
