--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -129,7 +129,7 @@
             finally:
                 watch.close()
             if watch.turned_away:
-                # Called again at once by a whole fleet, it serves nobody; the list last known serves meanwhile.
+                # Called again at once by a whole fleet it serves nobody; the list last known does meanwhile.
                 self._crowded = min(CROWDED_MOST, max(CROWDED_FIRST, 2 * self._crowded, watch.retry_after))
                 await asyncio.sleep(self._crowded * random.uniform(0.5, 1.5))
                 continue
