Leave a zone out whole once attempts at three of its order servers get no answer

Attempts get no time-out as no silence was seen of late. To blame: symptoms are kept for each order server alone. Now no answer from any of a zone's servers to attempts at three of them, for twice the usual latency while others answer, leaves the zone out for a while, closes its idle connections, and sends safe requests elsewhere. What is stuck there is no queue to the model.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import ceil, log
 
-from .interface import AttemptEnded, Backend, Health, ListKind, Outcome, Settings, Topology
-from .state import LONG, MEMORY, SECOND, Mean, Server
+from .interface import (
+    AttemptEnded, Backend, Group, Health, ListKind, Outcome, Repeat, RequestClass, Settings, Topology,
+)
+from .state import LONG, MEMORY, SECOND, Mean, Open, Server
 
 Filter = Callable[[Backend], bool]
 
@@ -19,12 +21,26 @@
 TOKENS_SPAN = 1.0  # s of a cold backend's budget that may be saved up while nothing was to go there
 OTHERS = 2.0  # attempts out here that say as much of others' at a backend as the mean over backends does
 SUSPEND, SUSPEND_MOST = SECOND // 2, 8 * SECOND  # first exclusion of a backend with symptoms; doubles up to
+SILENT_AGES = 2.0  # mean latencies without an answer, with none to anything newer from its zone ...
+SILENT_BACKENDS = 3  # ... of attempts at so many backends, after which the zone counts as cut off
 FAILS = 2  # failures in a row that count as a symptom: one may be chance
 CHANCE = 0.005  # ... as more may be where attempts break off everywhere: so unlikely must the row be
 LIFTED_EACH, LIFTED_ALL = 0.4, 2.0  # requests a second at least to one that was banned: from here, all
 BROKEN_MOST = 0.5  # part of attempts broken off from which longer rows tell no more
 
 
+def repeat_filter(now: int, cls: RequestClass, request: Open) -> Filter:
+    """Rule 2: where another attempt of a keyed request that may have run may go."""
+    first = request.keyed_by
+    if not request.may_have_run or cls.repeat is not Repeat.KEYED or first is None:
+        return lambda b: True
+    if now - request.keyed_at >= cls.window:
+        return lambda b: False
+    if cls.group is Group.ZONE:
+        return lambda b: b.zone == first.zone
+    return lambda b: cls.group is Group.ALL or b.cell == first.cell
+
+
 class Fleet:
     """The list of backends, their health from symptoms, cold budgets, and the choice among them."""
 
@@ -36,6 +52,8 @@
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.kept = 1.0  # part of the cold backends' budgets that is this process's
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
+        self.heard: dict[int, int] = {}  # by zone, when its last answer came ...
+        self.cut: dict[int, int] = {}  # ... and when it was last found silent
         self.ring: list[int] = []  # usable backends in an order that is the same at every gateway
 
     def learn(self, now: int, event: Topology) -> None:
@@ -166,6 +184,36 @@
         usual = min(BROKEN_MOST, max(CHANCE, self.broken.blend(now, 0.0, 3.0)))
         return max(FAILS, ceil(log(CHANCE) / log(usual)))
 
+    def silent_zones(self, now: int, requests: Iterable[Open]) -> list[tuple[int, list[Open], list[int]]]:
+        """Zones that fell silent just now, what is stuck there, and their backends, all left out for a while.
+
+        A zone that is cut off takes in silence what is written on connections from before: each backend would
+        have to be found out alone, with a request for each such connection. No answer from any of it since,
+        though there were some from elsewhere, tells sooner."""
+        late: dict[int, list[Open]] = {}
+        for request in requests:
+            server, at = self.servers.get(request.backend), request.sent_at
+            if server is None or not (request.out and 0 < SILENT_AGES * request.usual <= now - at):
+                continue
+            zone = server.entry.zone
+            elsewhere = max((heard for other, heard in self.heard.items() if other != zone), default=0)
+            if max(self.heard.get(zone, 0), self.cut.get(zone, 0)) < at < elsewhere:
+                late.setdefault(zone, []).append(request)
+        found = []
+        for zone, stuck in late.items():
+            if len({request.backend for request in stuck}) >= SILENT_BACKENDS:
+                self.cut[zone] = now
+                there = [i for i, s in self.servers.items() if s.entry.zone == zone and s.usable]
+                for server in (self.servers[i] for i in there):
+                    server.suspended, server.pause = now + server.pause, min(SUSPEND_MOST, 2 * server.pause)
+                found.append((zone, stuck, there))
+        return found
+
+    def silent(self, backend: int, sent_at: int) -> bool:
+        """Whether an attempt was on its way to a zone when that fell silent."""
+        server = self.servers.get(backend)
+        return server is not None and sent_at <= self.cut.get(server.entry.zone, -1)
+
     def answered_since(self, backend: int, at: int) -> bool:
         """Whether a backend answered an attempt that it was sent since then."""
         server = self.servers.get(backend)
@@ -176,6 +224,8 @@
         if server is None:
             return
         server.out = max(0, server.out - 1)
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+            self.heard[server.entry.zone] = now
         if event.outcome in (Outcome.OK, Outcome.TIMEOUT):
             server.met[kind[0]] = now, float(event.outcome is Outcome.TIMEOUT)
             self.silence[kind[0]].add(now, server.met[kind[0]][1])
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -10,10 +10,10 @@
 from collections import deque
 from math import ceil
 
-from .fleet import Filter, Fleet
+from .fleet import Fleet, repeat_filter
 from .interface import (
-    NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Begun, Cancel, ClientLeft, Counted, Event,
-    Fail, Group, LeaveOut, ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer,
+    NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Begun, Cancel, ClientLeft, CloseIdle, Counted,
+    Event, Fail, Group, LeaveOut, ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer,
     Settings, Tell, TimerFired, Topology, Watch,
 )
 from .mail import TOTALS, Draw, Kind, pack_draw, pack_totals, unpack_draw, unpack_totals
@@ -402,12 +402,13 @@
         return self.fleet.skipped(now)
 
     def _tick(self, now: int) -> list[Action]:
-        actions: list[Action] = [SetTimer(TICK, EVERY_TICK), *self._overdue(now)]
+        actions: list[Action] = [SetTimer(TICK, EVERY_TICK), *self._overdue(now), *self._silent_zones(now)]
         usual = [LOST * latency.value for latency in self.model.latency]
         outstanding = [  # overtaken, others wait in no shared queue: lost answers are no overload
             (r.arrival.cls, now - r.sent_at)
             for r in self.open.values()
             if r.sends and not self.fleet.newest - r.sent_at > usual[r.arrival.cls] > 0.0
+            and not self.fleet.silent(r.backend, r.sent_at)
         ]
         self.lost = len(self.open) - len(self.held) - len(outstanding)
         self.model.fit(now, self.out - self.lost, outstanding)
@@ -583,7 +584,7 @@
         a = request.arrival
         if now >= a.valid_until or request.sends >= self.s.max_attempts:
             return None
-        allowed = self._repeat_filter(now, request)
+        allowed = repeat_filter(now, self.s.classes[a.cls], request)
         kind = a.cls, a.plan
         server = self.fleet.choose(now, kind, request.tried, allowed)
         if server is None and not elsewhere:
@@ -615,17 +616,25 @@
         servers that answer: where one is silent, the attempt's time-out tells so and must come."""
         actions: list[Action] = []
         for request in list(self.open.values()) if self.model.risen else []:
-            a, aim = request.arrival, self.s.classes[request.arrival.cls].aim
+            aim = self.s.classes[request.arrival.cls].aim
             server = self.fleet.servers.get(request.backend)
             late = request.out and now - request.born >= aim
             if late and server is not None and now - server.answered_at <= aim // 2:
-                if self.s.may_cancel:
-                    out = [i for i in range(request.sends) if (a.request, i) in self.attempts]
-                    actions += [Cancel(a.request, i) for i in out]
+                actions += self._call_off(request)
                 request.may_have_run = True
                 actions.append(self._end(request))
         return actions
 
+    def _silent_zones(self, now: int) -> list[Action]:
+        """What is out at a zone that fell silent goes elsewhere where its class allows."""
+        actions: list[Action] = []
+        for zone, stuck, backends in self.fleet.silent_zones(now, self.open.values()):
+            actions.append(LogLine(f"zone {zone} silent: {len(stuck)} attempts without an answer"))
+            actions += [CloseIdle(backend) for backend in backends]
+            safe = (r for r in stuck if self.s.classes[r.arrival.cls].repeat is Repeat.SAFE)
+            actions += [action for r in safe for action in self._call_off(r)]
+        return actions
+
     def _second_copies(self, now: int) -> list[Action]:
         """Answers get lost one by one too, with no symptom of their server: where it answered what was sent
         later, no queue explains the wait and the class allows it, another is asked as well."""
@@ -645,17 +654,6 @@
                     request.may_have_run = ran
         return actions
 
-    def _repeat_filter(self, now: int, request: Open) -> Filter:
-        """Rule 2: where another attempt of a keyed request that may have run may go."""
-        cls, first = self.s.classes[request.arrival.cls], request.keyed_by
-        if not request.may_have_run or cls.repeat is not Repeat.KEYED or first is None:
-            return lambda b: True
-        if now - request.keyed_at >= cls.window:
-            return lambda b: False
-        if cls.group is Group.ZONE:
-            return lambda b: b.zone == first.zone
-        return lambda b: cls.group is Group.ALL or b.cell == first.cell
-
     def _begun(self, number: int, attempt: int) -> list[Action]:
         """The request is bound to this attempt: no other is made, and those out are called off."""
         request = self.open.pop(number, None)
@@ -663,8 +661,13 @@
             return []
         self.out -= request.out
         request.begun = True
-        others = [i for i in range(request.sends) if i != attempt and (number, i) in self.attempts]
-        return [Cancel(number, i) for i in others] if self.s.may_cancel else []
+        return self._call_off(request, attempt)
+
+    def _call_off(self, request: Open, but: int = -1) -> list[Action]:
+        """Its attempts that are out, but for one."""
+        number = request.arrival.request
+        out = [i for i in range(request.sends) if i != but and (number, i) in self.attempts]
+        return [Cancel(number, i) for i in out] if self.s.may_cancel else []
 
     def _ended(self, now: int, event: AttemptEnded) -> list[Action]:
         request = self.attempts.pop((event.request, event.attempt), None)
@@ -685,12 +688,10 @@
         self.fleet.ended(now, event, (cls, request.arrival.plan), event.elapsed / usual)
         if event.outcome not in NEVER_RAN:
             request.may_have_run = True
-        others: list[Action] = []
         if event.finished:
             self.open.pop(event.request, None)
-            if request.out and self.s.may_cancel and not request.begun:  # else it is the one that flows
-                others = [Cancel(event.request, i) for i in range(request.sends)
-                          if (event.request, i) in self.attempts]
+        # Once one has begun it is the one that flows.
+        others = self._call_off(request) if event.finished and request.out and not request.begun else []
         # An attempt that broke off at once took no server's time, and another for it doubles nothing.
         cost = max(RETRY_LEAST, min(1.0, event.elapsed / usual))
         again = [] if request.out or event.request not in self.open else self._try_again(now, request, cost)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,6 +15,8 @@
 from badgerspindle.interface import (
     Action,
     AddToCounter,
+    Cancel,
+    CloseIdle,
     Counted,
     Event,
     Fail,
@@ -539,3 +541,41 @@
     asked = {cls: arrival(90 + cls, 2 * SECOND, cls, customer=90 + cls, spread=25) for cls in (0, UNSAFE)}
     refused = {cls: isinstance(g.handle(2 * SECOND, each)[0], Refuse) for cls, each in asked.items()}
     assert refused == {0: True, UNSAFE: False}
+
+
+def two_zones(silent: int, cls: int = 0) -> tuple[Gateway, dict[int, int], list[Action]]:
+    """Answers come from zone 0, none from zone 1; where each went, and what the next beat does."""
+    g = Gateway(settings(gateways=2, plans=(plan(rate=1e3, burst=1e3),)), 7, 0)
+    g.handle(0, full_list(*(replace(backend(i), zone=i % 2) for i in range(1, 13))))
+    for mean in g.model.latency:
+        mean.add(0, 100 * MS, 20.0)
+    sent = {}
+    for i in range(12):
+        (send,) = [a for a in g.handle(MS, arrival(i, MS, cls, customer=i)) if isinstance(a, Send)]
+        sent[i] = send.backend
+    for i, server in sent.items():
+        if server % 2 == 0 or [s for s in sent.values() if s % 2].index(server) >= silent:
+            g.handle(101 * MS, ended(i, server))
+    return g, sent, g.handle(600 * MS, TimerFired(EVERY_TICK))
+
+
+@pytest.mark.parametrize(("cls", "resent"), [(0, True), (UNSAFE, False)])
+def test_zone_without_an_answer_is_left_out_whole_and_its_idle_connections_are_closed(
+    cls: int, resent: bool,
+) -> None:
+    g, sent, actions = two_zones(6, cls)
+    lost = {server for server in sent.values() if server % 2}
+    assert {a.backend for a in actions if isinstance(a, CloseIdle)} == lost
+    off = {a.request for a in actions if isinstance(a, Cancel)}
+    assert off == ({i for i, server in sent.items() if server % 2} if resent else set())
+    for i in off:
+        again = g.handle(600 * MS, ended(i, sent[i], Outcome.CANCELLED))
+        assert [a.backend % 2 for a in again if isinstance(a, Send)] == [0]
+    later = [a for i in range(50, 60) for a in g.handle(700 * MS, arrival(i, 700 * MS, customer=i))]
+    assert {a.backend % 2 for a in later if isinstance(a, Send)} == {0}
+    assert not [a for a in g.handle(701 * MS, TimerFired(EVERY_TICK)) if isinstance(a, CloseIdle)]
+
+
+def test_zone_with_an_answer_or_with_few_late_ones_is_not_silent() -> None:
+    for silent in (0, 2, 5):
+        assert not [a for a in two_zones(silent)[2] if isinstance(a, CloseIdle | Cancel)]
