Work out trust and silent zones only where they matter, and sort the ring once a list

To blame: trust in a store was worked out up to three times a request though it decides nothing while the counter answers all, each beat looked up the server of every open request, and sorted the list.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -54,6 +54,7 @@
         self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
         self.heard: dict[int, int] = {}  # by zone, when its last answer came ...
         self.cut: dict[int, int] = {}  # ... and when it was last found silent
+        self.others = 0.0  # mean out at each by the other gateways that hold it
         self.ring: list[int] = []  # usable backends in an order that is the same at every gateway
 
     def learn(self, now: int, event: Topology) -> None:
@@ -75,6 +76,7 @@
                 self.servers[entry.id] = server = fresh
             server.entry, server.usable = entry, entry.health is Health.READY
             server.listed = entry.health is not Health.GONE
+        self._order()
         self.count(now)
 
     def leave_out(self, now: int, backend: int, out: bool) -> None:
@@ -87,8 +89,12 @@
             fresh.tokens, fresh.tokens_at, fresh.banned_at = self.rng.random(), now, since
             fresh.cold_from = now if server.entry.booted < since else 0
             self.servers[backend] = fresh
+        self._order()
         self.count(now)
 
+    def _order(self) -> None:
+        self.ring = sorted(i for i, s in self.servers.items() if s.usable and i not in self.banned)
+
     def skipped(self, now: int) -> int:
         """Listed backends that get nothing now, by an operator's word or for their symptoms."""
         return sum(s.listed and (i in self.banned or now < s.suspended) for i, s in self.servers.items())
@@ -98,10 +104,10 @@
         # or memory and the choice's work would grow with all that ever were.
         for gone in [i for i, s in self.servers.items() if not s.listed and not s.out]:
             del self.servers[gone]
-        self.ring = sorted(i for i, s in self.servers.items() if s.usable and i not in self.banned)
         held = self.held(now)
         self.warm = sum(self.warmth(now, s) >= 1.0 for s in held)
         self.usual = sum(s.out for s in held) / max(1, len(held))
+        self.others = self.usual * (min(HOLDERS, self.s.gateways) - 1)
 
     def held(self, now: int) -> list[Server]:
         """This gateway's part of the backends: so many in a row from its place on the ring that each backend
@@ -145,8 +151,7 @@
         less the fewer they are. Slowness ages, or a backend once bad would never be tried again."""
         far = self.s.cross_zone_price * (server.entry.zone != self.s.zone)
         slow = min(4.0, max(0.5, server.slow.blend(now, 1.0, 3.0)))
-        others = (OTHERS + server.out) / (OTHERS + self.usual) * self.usual
-        others *= min(HOLDERS, self.s.gateways) - 1
+        others = (OTHERS + server.out) / (OTHERS + self.usual) * self.others
         cold = COLD_FIRST if self.warmth(now, server) < 1.0 else 1.0
         return (1.0 + server.out + others) * slow * cold + far
 
@@ -192,8 +197,10 @@
         though there were some from elsewhere, tells sooner."""
         late: dict[int, list[Open]] = {}
         for request in requests:
-            server, at = self.servers.get(request.backend), request.sent_at
-            if server is None or not (request.out and 0 < SILENT_AGES * request.usual <= now - at):
+            at = request.sent_at
+            if now - at < SILENT_AGES * request.usual or not (request.out and request.usual):
+                continue
+            if (server := self.servers.get(request.backend)) is None:
                 continue
             zone = server.entry.zone
             elsewhere = max((heard for other, heard in self.heard.items() if other != zone), default=0)
@@ -211,7 +218,7 @@
 
     def silent(self, backend: int, sent_at: int) -> bool:
         """Whether an attempt was on its way to a zone when that fell silent."""
-        server = self.servers.get(backend)
+        server = self.servers.get(backend) if self.cut else None
         return server is not None and sent_at <= self.cut.get(server.entry.zone, -1)
 
     def answered_since(self, backend: int, at: int) -> bool:
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -174,8 +174,8 @@
     def trusted(self, now: int, account: Account, units: float) -> bool:
         """Without a call to spare, a little of a store that likely has room needs nobody's word."""
         little = account.untold + units <= max(self.s.largest, LAG * account.plan.burst)
-        trusted = little and account.level >= units and self.may(now, account, units)
-        return self.counter and trusted and self.likely(now, account)
+        room = self.counter and little and account.level >= units and self.may(now, account, units)
+        return room and self.likely(now, account)
 
     def chance(self, trusted: bool) -> float:
         """Of a call: a crowded counter is asked where there is doubt before it is where there is none."""
@@ -196,10 +196,10 @@
         self.spend(account, units)
         return True
 
-    def alone(self, now: int, account: Account, units: float) -> bool:
+    def alone(self, now: int, account: Account, units: float, sure: bool = False) -> bool:
         """Without the store's word: by the even slice, else by chance, as home, counter or meter lately said
         of this customer, or else of its plan. That ages away, and even slices are left."""
-        if self.trusted(now, account, units):
+        if sure or self.trusted(now, account, units):
             self.spend(account, units)
             return True
         usual, even = self.granted[account.index].blend(now, 0.0, 0.1), account.part >= units
@@ -219,14 +219,14 @@
         account.granted.add(now, float(granted))
         self.granted[account.index].add(now, float(granted))
 
-    def ask(self, now: int, account: Account, units: float, kind: Kind) -> tuple[int, Action]:
+    def ask(self, now: int, who: Account, units: float, kind: Kind, sure: bool = False) -> tuple[int, Action]:
         self.tag = self.tag + 1 & 0xFFFFFFFF
         if self.homes:
-            return self.tag, self._tell(now, account.home, account, kind, units, self.tag)
+            return self.tag, self._tell(now, who.home, who, kind, units, self.tag)
         # While not all are counted, each that is stands for those that are not.
-        amount = units / (1.0 if self.trusted(now, account, units) else self.chance(False))
-        amount += self.place(account)
-        return self.tag, self.call(now, account, amount, self.tag * (kind == Kind.ASK))
+        part = self.chance(False)
+        amount = units / (1.0 if part >= 1.0 or sure or self.trusted(now, who, units) else part)
+        return self.tag, self.call(now, who, amount + self.place(who), self.tag * (kind == Kind.ASK))
 
     def _tell(self, now: int, to: int, account: Account, kind: Kind, units: float, tag: int) -> Action:
         age = (now - self.born) * 10 // SECOND
@@ -516,20 +516,20 @@
             if not may or not quota.book(account, a.units, pays):
                 return [self._refusal(a)]
             return self._admit(now, request, knows)
-        trusted = quota.trusted(now, account, a.units)
+        trusted = quota.pace < 1.0 and quota.trusted(now, account, a.units)
         if not (quota.homes or (quota.counter and self.rng.random() < quota.chance(trusted))):
-            return self._alone(now, request)
+            return self._alone(now, request, trusted)
         if pays and not plan.ceiling_rate:
             return self._admit(now, request, False)
-        tag, action = quota.ask(now, account, a.units, Kind.ASK)
+        tag, action = quota.ask(now, account, a.units, Kind.ASK, trusted)
         if a.valid_until - now < 4 * TICK:
-            return [action, *self._alone(now, request)]
+            return [action, *self._alone(now, request, trusted)]
         request.asked_at = now
         self.held[tag] = self.open[a.request] = request
         return [action]
 
-    def _alone(self, now: int, request: Open) -> list[Action]:
-        may = self.quota.alone(now, request.account, request.arrival.units)
+    def _alone(self, now: int, request: Open, trusted: bool = False) -> list[Action]:
+        may = self.quota.alone(now, request.account, request.arrival.units, trusted)
         return self._admit(now, request, False) if may else [self._refusal(request.arrival)]
 
     def _admit(self, now: int, request: Open, tell: bool) -> list[Action]:
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -27,17 +27,17 @@
         self.at, self.total, self.weight, self.memory = 0, 0.0, 0.0, memory
 
     def add(self, now: int, value: float, weight: float = 1.0) -> None:
-        left = decayed(now - self.at, self.memory)
+        left = exp((self.at - now) / self.memory)
         self.total, self.weight = self.total * left + value * weight, self.weight * left + weight
         self.at = now
 
     def rate(self, now: int) -> float:
         """Samples a second."""
-        return self.weight * decayed(now - self.at, self.memory) * SECOND / self.memory
+        return self.weight * exp((self.at - now) / self.memory) * SECOND / self.memory
 
     def blend(self, now: int, prior: float, strength: float) -> float:
         """The mean with `strength` samples of `prior` mixed in; what is old goes back to the prior."""
-        left = decayed(now - self.at, self.memory)
+        left = exp((self.at - now) / self.memory)
         return (self.total * left + prior * strength) / (self.weight * left + strength)
 
     @property
