Send nothing on for a client that left while its attempt still connected

Seen: the test with a connection held back until the client had gone: the order server got request 1 ("1" != "2" in the test), though its client had left before the connection came up. Cause: Node.left told the module and cancelled only a bound attempt (gateway.py, left); _Pool.connected then wrote whatever attempt the link still had. Ruled out: requests held for the counter and retries, which the module drops with ClientLeft. Now: Backends.spare ends each attempt whose last byte is not out, as MOOT, which marks no order server. With it goes one place where an attempt ends: finish() tells each end once, as spare, expire or cancel may come while call_soon(fail_unsent) is on its way (tested; told twice it met a request that was gone).

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -62,7 +62,8 @@
 class Attempt:
     """One try of one request at one backend."""
 
-    __slots__ = ("backend", "begun", "expires", "index", "link", "parts", "request", "started", "timer")
+    __slots__ = ("backend", "begun", "expires", "index", "link", "over", "parts", "request", "started",
+                 "timer")
 
     def __init__(
         self, request: int, index: int, backend: int, started: int, expires: int,
@@ -72,6 +73,7 @@
         self.started, self.expires = started, expires
         self.parts = parts
         self.begun = 0  # when a large value's first bytes came
+        self.over = False  # its one end was told
         self.link: _Link | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -502,13 +504,19 @@
 
     def expire(self, attempt: Attempt) -> None:
         """Stop waiting. What never left the write buffer never ran, anything else may have."""
-        link = attempt.link
-        unsent = link is None or link.unsent
-        self._abandon(attempt, Outcome.CONNECT_FAILED if unsent else Outcome.TIMEOUT)
+        self._abandon(attempt, Outcome.CONNECT_FAILED if self._unsent(attempt) else Outcome.TIMEOUT)
 
     def cancel(self, attempt: Attempt) -> None:
         self._abandon(attempt, Outcome.CANCELLED)
 
+    def spare(self, attempt: Attempt) -> None:
+        """Nobody waits for it any more: it ends here unless its last byte is out."""
+        if self._unsent(attempt):
+            self._abandon(attempt, Outcome.MOOT)
+
+    def _unsent(self, attempt: Attempt) -> bool:
+        return attempt.link is None or attempt.link.unsent
+
     def _abandon(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.link is not None:
             # Answers queue in order: a connection whose answer is not waited for is of no more use.
@@ -516,7 +524,10 @@
         self.finish(attempt, outcome, None, {})
 
     def finish(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: Report) -> None:
-        attempt.link = None
+        """The one place where an attempt ends; what comes second, as a failure told later, says nothing."""
+        if attempt.over:
+            return
+        attempt.over, attempt.link = True, None
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -307,6 +307,9 @@
             self._handle(ClientLeft(number))
             if request.bound is not None:
                 self.backends.cancel(request.bound)
+            # What still connects would be written long after its client went.
+            for attempt in list(request.out.values()):
+                self.backends.spare(attempt)
 
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -525,6 +525,19 @@
     run(test)
 
 
+def test_attempt_ends_once_though_it_is_given_up_while_its_failure_is_on_its_way() -> None:
+    async def test() -> None:
+        async with bench(port=1) as b:
+            attempt = b.start(1, backend=99)
+            b.pools.spare(attempt)
+            b.start(2, backend=99)
+            assert (await b.end())[:2] == (1, Outcome.MOOT)
+            assert (await b.end())[:2] == (2, Outcome.CONNECT_FAILED)
+            assert b.ends.empty()
+
+    run(test)
+
+
 def test_unknown_backend_never_ran() -> None:
     async def test() -> None:
         async with bench(port=1) as b:
