Notice a client that leaves while its input is not read

Seen: with 40 commands sent at once (32 are worked on) and the client gone, nothing ended: the test waited 20 s for ClientLeft, by reset, by close and by end of sending alike. The 8 commands behind would be taken and sent on whenever one of the 32 was answered, seconds after the client had left. Cause: Client._gate pauses reading, and without reading uvloop sees neither end nor reset. Ruled out: leaving while held for the counter, and before a retry (both tested, both good before). Now: clients whose input is not read are looked at every 0.05 s with POLLRDHUP, which tells an end of sending past unread bytes; 0.3 s are granted. Nobody is looked at while all input is read.

--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -6,6 +6,7 @@
 import fcntl
 import logging
 import re
+import select
 import socket
 import struct
 import termios
@@ -33,6 +34,7 @@
 FIRST_WORD = 0.5  # s in which whoever connected before the door closed may still say its first word
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
 LOOK = 0.25  # s between looks at all connections for those that have had their time
+GONE_LOOK = 0.05  # s between looks whether a client whose input is not read has left: 0.3 s are granted
 MUTE = 2.6  # s without a whole command from connecting or its first byte on: slow clients need 2, 3 is late
 STUCK = 2.0  # s in which a client takes nothing of what waits for it
 STUCK_LARGE = 5.0  # the same while a large value is on its way: slow readers pause, and little is held
@@ -301,6 +303,16 @@
             self._read_on, transport = read_on, cast(asyncio.Transport, self._transport)
             if not transport.is_closing():
                 (transport.resume_reading if read_on else transport.pause_reading)()
+                self._owner.heed(self, not read_on)
+
+    def gone(self) -> bool:
+        """Whether the client has ended its sending: unread input hides that from whoever does not read."""
+        transport = cast(asyncio.Transport, self._transport)
+        if transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(look.poll(0))
 
     def pause_writing(self) -> None:
         self._blocked = self._owner.time()
@@ -505,8 +517,10 @@
         # Both have whoever came to rest longest ago first.
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
+        self._unread: set[Client] = set()  # whose input is not read just now
         self._server: asyncio.Server | None = None
         self._looker: asyncio.TimerHandle | None = None
+        self._heeder: asyncio.TimerHandle | None = None
         self._last_came = 0.0
         self.closing = self._stopping = False
         # Every request has ended by then; only half a command can hold a connection open for longer.
@@ -565,7 +579,22 @@
     def count(self) -> int:
         return len(self._clients) + len(self._fresh)
 
+    def heed(self, client: Client, unread: bool) -> None:
+        """A client that leaves while its input is not read has to be looked for."""
+        (self._unread.add if unread else self._unread.discard)(client)
+        if self._unread and self._heeder is None:
+            self._heeder = self._later(GONE_LOOK, self._heed)
+
+    def _heed(self) -> None:
+        self._heeder = None
+        for client in list(self._unread):
+            if client.gone():
+                client.abort()
+        if self._unread:
+            self._heeder = self._later(GONE_LOOK, self._heed)
+
     def went(self, client: Client) -> None:
+        self._unread.discard(client)
         self._fresh.pop(client, None)
         self._clients.pop(client, None)
 
@@ -597,8 +626,9 @@
 
     def shut(self) -> None:
         """Close everything as it stands."""
-        if self._looker is not None:
-            self._looker.cancel()
+        for timer in (self._looker, self._heeder):
+            if timer is not None:
+                timer.cancel()
         if self._server is not None:
             self._server.close()
         for client in [*self._fresh, *self._clients]:
