Open a watch anew at once after one that was well, and within the drain grace

Seen: in the test, after a few broken calls a watch that then ran well with empty lines alone and broke was called again only after 1 to 2 s. Cause: Discovery._line alone reset the backoff (discovery.py), and a list without changes brings no line of hosts for minutes; up to 2 s stood in the code though the settings name the grace. Now: any line, if only an empty one, resets it; no wait is over half of the settings' drain grace. The agent is on the gateway's machine and calls to it cost nothing. Calls turned away (503) wait as before.

--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -20,7 +20,8 @@
 
 SILENCE = 5.0  # s without a byte: an idle watch brings an empty line every 2 s, so two were missed
 CONNECT = 1.0  # s for the agent, which is on this machine
-BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a good line resets it
+BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a watch that was well resets it
+BACKOFF_GRACE = 0.5  # part of the drain grace at most: what the agent has binds as if it had told us
 CROWDED_FIRST, CROWDED_MOST = 1.0, 16.0  # the same where discovery turns the call away: all gateways call it
 LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
 LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
@@ -84,9 +85,10 @@
 
     def __init__(
         self, agent: Address, zones: tuple[str, ...], kinds: tuple[str, ...], index: int | None,
-        told: Callable[[Update], None],
+        told: Callable[[Update], None], drain_grace: float = 2 * BACKOFF_MOST,
     ) -> None:
         self._agent = agent
+        self._backoff_most = min(BACKOFF_MOST, BACKOFF_GRACE * drain_grace)
         self._zones, self._kinds = zones, kinds
         self._index = index
         self._told = told
@@ -133,8 +135,10 @@
                 self._crowded = min(CROWDED_MOST, max(CROWDED_FIRST, 2 * self._crowded, watch.retry_after))
                 await asyncio.sleep(self._crowded * random.uniform(0.5, 1.5))
                 continue
+            if watch.well:
+                self._backoff, self._crowded = BACKOFF_FIRST, 0.0
             # Jitter, or gateways whose agents broke together would come back together.
-            await asyncio.sleep(self._backoff * random.uniform(0.5, 1.0))
+            await asyncio.sleep(min(self._backoff, self._backoff_most) * random.uniform(0.5, 1.0))
             self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
 
     def _behind(self, update: Update) -> Update:
@@ -201,6 +205,7 @@
         self._host, self._index, self._line = host, index, line
         self._rest = b""
         self.turned_away, self.retry_after = False, 0.0  # s
+        self.well = False  # a line came, if only an empty one
         self._heard_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
@@ -244,6 +249,7 @@
 
     def _lines(self, data: bytes) -> None:
         *lines, self._rest = (self._rest + data).split(b"\n")
+        self.well |= bool(lines)
         for line in lines:
             if line.strip():
                 self._line(line)
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -122,7 +122,9 @@
         folder = config.folder if config.passed is not None else None
         self.succession = None if folder is None else Succession(folder, config.name, self)
         self.door = None if config.operator is None else Door(config.operator, self)
-        self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
+        self.discovery = Discovery(
+            config.discovery, config.zones, config.kinds, index, self._listed, settings.drain_grace / SECOND
+        )
 
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -177,6 +177,62 @@
     run(test)
 
 
+def fast(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """What the watch waits between two calls, told but not waited."""
+    waits: list[float] = []
+    sleep = asyncio.sleep
+
+    async def short(delay: float) -> None:
+        waits.append(delay)
+        await sleep(0)
+
+    monkeypatch.setattr(asyncio, "sleep", short)
+    return waits
+
+
+def test_watch_that_was_well_is_opened_anew_at_once_however_long_the_waits_before_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An idle watch brings empty lines alone; what is told while there is none binds all the same."""
+    waits = fast(monkeypatch)
+
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            f = Follower(agent, 7)
+            for _ in range(8):
+                await soon(agent.asked.get())
+                agent.hang_up()
+            await soon(agent.asked.get())
+            assert max(waits[-2:]) >= discovery.BACKOFF_MOST / 2
+            agent.raw(b"\n")
+            watch_waits = len(waits)
+            agent.writers[-1].close()  # after the line, so that it is read
+            await soon(agent.asked.get())
+            assert waits[watch_waits] <= discovery.BACKOFF_FIRST
+            await f.watch.close()
+
+    run(test)
+
+
+def test_agent_that_hangs_up_is_called_again_within_the_drain_grace(monkeypatch: pytest.MonkeyPatch) -> None:
+    waits = fast(monkeypatch)
+
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            told: list[Update] = []
+            watch = Discovery((LOCAL, agent.port), ZONES, KINDS, 7, told.append, 0.25)
+            watch.start()
+            for _ in range(9):
+                await soon(agent.asked.get())
+                agent.hang_up()
+            assert len(waits) >= 8 and max(waits) <= 0.125
+            await watch.close()
+
+    run(test)
+
+
 def test_old_list_serves_while_discovery_is_down(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         monkeypatch.setattr("badgerspindle.net.gateway.KNOWN_LIST", 0.01)
@@ -353,17 +409,10 @@
     monkeypatch: pytest.MonkeyPatch, header: bytes, least: float,
 ) -> None:
     """A fleet that calls again within milliseconds keeps a crowded discovery from serving anybody."""
-    waits: list[float] = []
-    sleep = asyncio.sleep
-
-    async def short(delay: float) -> None:
-        waits.append(delay)
-        await sleep(0)
-
     async def test() -> None:
         agent = Crowded(6, header)
         async with listening(agent):
-            monkeypatch.setattr(asyncio, "sleep", short)
+            waits = fast(monkeypatch)
             f = Follower(agent, None)
             assert (await f.next()).topology.version == 41
             monkeypatch.undo()
