Close a connection to the agent that comes up after its call was over

Seen: a watch that is over, whose connection then comes up, wrote its call and kept the connection and a timer for good (test). It happens where move() or the one second for connecting ends the call in the very turn in which the connection came up: create_connection is cancelled, connection_made is already on its way. Cause: _Watch.connection_made took no notice of `ended`; _Link has the same guard since long.

--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -212,6 +212,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        if self.ended.done():
+            self._transport.abort()  # it came up after nobody waited for it any more
+            return
         request = h11.Request(
             method="GET", target=f"/api/targets?stream=1&index={self._index or 0}",
             headers=[("Host", self._host), ("Accept", "application/json")],
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -233,6 +233,22 @@
     run(test)
 
 
+def test_connection_to_the_agent_that_comes_up_too_late_is_closed() -> None:
+    """Cancelled in the very moment in which it came up, it would stay open and be told into."""
+
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            lines: list[bytes] = []
+            watch = discovery._Watch("x", 7, lines.append)
+            watch.close()
+            await asyncio.get_running_loop().create_connection(lambda: watch, LOCAL, agent.port)
+            await until(lambda: watch._transport is not None and watch._transport.is_closing())
+            assert watch._timer is None and agent.asked.empty()
+
+    run(test)
+
+
 def test_old_list_serves_while_discovery_is_down(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         monkeypatch.setattr("badgerspindle.net.gateway.KNOWN_LIST", 0.01)
