Read lists that come indented, and break off at half an object

Seen: an indented list (test) was never taken: its first line, "{", is no JSON, so the watch broke and was called again for ever, without a list. Cause: _Watch._lines took each line for one object. Now: lines are gathered until they are one whole object; what can be no object, or is followed by the empty line that says nothing more comes now, breaks the watch, is logged and changes nothing, as before.

--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -23,7 +23,7 @@
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a watch that was well resets it
 BACKOFF_GRACE = 0.5  # part of the drain grace at most: what the agent has binds as if it had told us
 CROWDED_FIRST, CROWDED_MOST = 1.0, 16.0  # the same where discovery turns the call away: all gateways call it
-LINE = 4 << 20  # bytes of one line: some 20,000 entries; more is no list
+LINE = 4 << 20  # bytes of one object: some 20,000 entries; more is no list
 LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
 MILLISECOND = 1_000_000
 _HEALTH = {"in_service": Health.READY, "terminating": Health.DRAINING, "terminated": Health.GONE}
@@ -170,8 +170,7 @@
             else:
                 self._hosts[host["host"]] = host
 
-    def _line(self, line: bytes) -> None:
-        raw = json.loads(line)
+    def _line(self, raw: Any) -> None:
         update = parse_update(raw, self._zones, self._kinds)
         whole = update.topology.kind is ListKind.FULL
         # A second watch may tell again what is known: an older version must not undo a newer one.
@@ -198,12 +197,12 @@
 class _Watch(asyncio.Protocol):
     """One HTTP exchange; `ended` is done when nothing more can come of it."""
 
-    def __init__(self, host: str, index: int | None, line: Callable[[bytes], None]) -> None:
+    def __init__(self, host: str, index: int | None, told: Callable[[Any], None]) -> None:
         self._loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self._loop.create_future()
         self._http = h11.Connection(h11.CLIENT)
-        self._host, self._index, self._line = host, index, line
-        self._rest = b""
+        self._host, self._index, self._told = host, index, told
+        self._rest, self._lines = b"", list[bytes]()  # of the object that is still to be told whole
         self.turned_away, self.retry_after = False, 0.0  # s
         self.well = False  # a line came, if only an empty one
         self._heard_at = self._loop.time()
@@ -244,21 +243,37 @@
                     self.retry_after = read_seconds(dict(event.headers).get(b"retry-after", b""))
                     return self._end(f"status {event.status_code}")
                 if isinstance(event, h11.Data):
-                    self._lines(bytes(event.data))
+                    self._read(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     return self._end("answer ended")
         except (h11.RemoteProtocolError, ListError, ValueError) as error:
             self._end(str(error))
 
-    def _lines(self, data: bytes) -> None:
+    def _read(self, data: bytes) -> None:
         *lines, self._rest = (self._rest + data).split(b"\n")
         self.well |= bool(lines)
         for line in lines:
-            if line.strip():
-                self._line(line)
-        if len(self._rest) > LINE:
+            self._line(line)
+        if len(self._rest) + sum(map(len, self._lines)) > LINE:
             self._end("endless line")
 
+    def _line(self, line: bytes) -> None:
+        """One object may be indented, over many lines; it is told once it is whole."""
+        if line.strip():
+            self._lines.append(line)
+        elif self._lines:
+            raise ListError("an object broke off")  # the empty line says that nothing more is to come now
+        if not self._lines or (len(self._lines) > 1 and not line.rstrip().endswith((b"}", b"]"))):
+            return
+        try:
+            raw = json.loads(b"\n".join(self._lines))
+        except json.JSONDecodeError as error:
+            if error.pos < len(error.doc.rstrip()):
+                raise
+            return  # good so far: its end is still to come
+        self._lines.clear()
+        self._told(raw)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._end(str(exc or "closed"))
 
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -164,6 +164,53 @@
     run(test)
 
 
+def test_indented_list_is_read_however_its_pieces_come() -> None:
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            f = Follower(agent, None)
+            await soon(agent.asked.get())
+            whole = listing(41, host("s-1", 1), host("s-2", 2))
+            agent.raw(json.dumps(whole, indent=2).encode() + b"\n")
+            assert len((await f.next()).topology.entries) == 2
+            text = json.dumps(listing(42, host("s-1", 1, "terminating"), whole=False), indent="\t").encode()
+            for byte in text + b"\n\n":
+                agent.raw(bytes([byte]))
+            assert (await f.next()).topology.entries[0].health is Health.DRAINING
+            agent.tell(listing(43, host("s-2", 2, "terminated"), whole=False))
+            assert (await f.next()).topology.version == 43
+            assert agent.asked.empty()
+            await f.watch.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("junk", [
+    b'{"seq": 42,\n"whole": tru, "hosts": []}\n',
+    b'{"seq": 42,\n\n',
+    b'{\n"seq": 42, "hosts": [\n{"seq": 43}\n{}\n',
+    b"]\n",
+    b"[]\n",
+    b"7\n",
+])
+def test_list_that_cannot_be_read_changes_nothing_and_is_logged(
+    junk: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent):
+            f = Follower(agent, 41)
+            await soon(agent.asked.get())
+            agent.raw(junk)
+            assert b"index=41" in await soon(agent.asked.get())
+            assert f.updates.empty() and "discovery watch over" in caplog.text
+            agent.tell(listing(42, host("s-1", 1)))
+            assert (await f.next()).topology.version == 42
+            await f.watch.close()
+
+    run(test)
+
+
 def test_silent_watch_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         monkeypatch.setattr(discovery, "SILENCE", 0.05)
@@ -239,8 +286,8 @@
     async def test() -> None:
         agent = Agent()
         async with listening(agent):
-            lines: list[bytes] = []
-            watch = discovery._Watch("x", 7, lines.append)
+            told: list[Any] = []
+            watch = discovery._Watch("x", 7, told.append)
             watch.close()
             await asyncio.get_running_loop().create_connection(lambda: watch, LOCAL, agent.port)
             await until(lambda: watch._transport is not None and watch._transport.is_closing())
