Stop only once nobody is owed an answer, and close the door on nobody

Seen: with a request out, a stopping gateway whose time for stopping was over aborted the client's connection (test: end of connection for the answer); half a command was reset, and its last byte may lie in the socket. Cause: Clients.drain ended at the longest deadline plus 0.5 s after the door, and shut() aborted what was left: large values in flow, what queued behind others, a loop that lagged; the door was closed 10 ms after the last look at the accept queue. Ruled out, each with a test that passed before: SIGTERM twice, between SIGHUPs, and during the start. Now: drain waits until no connection is left. Requests end with their own time and connections close at rest; past the old end, half a command gets -BUSY and a half-close, no reset. The listening socket is closed in the turn that found its queue empty. Connections at rest are closed from 0.5 s on, as the front needs 0.4, though others still come.

--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -30,7 +30,6 @@
 WAIT_MOST = 86_400_000  # ms: no client waits longer than a day
 QUIET = 0.5  # s without a new connection after which a stopping gateway closes its door; the front needs 0.4
 DOOR_MOST = 0.9  # s after which it does so all the same: not all who connect heed the front
-ACCEPT_LOOK = 0.01  # s in which a stopping gateway's loop surely turns to its sockets
 FIRST_WORD = 0.5  # s in which whoever connected before the door closed may still say its first word
 IDLE_LOOK = 0.02  # s between looks for connections that have come to rest, while stopping
 LOOK = 0.25  # s between looks at all connections for those that have had their time
@@ -374,11 +373,15 @@
         """Where the next command begins can't be known any more; what was taken before is still answered,
         or closing at once would lose it (rule 1)."""
         log.warning("client sent broken RESP: %s", reason)
+        self._last(b"-ERR Protocol error: %b\r\n" % _line(reason))
+
+    def _last(self, answer: bytes) -> None:
+        """Nothing more is taken; this stands behind the answers to what was."""
         self._half, self._ending = 0.0, True
         slot = Slot(self)
         self.slots.append(slot)
         self._gate()
-        self.answer(slot, b"-ERR Protocol error: %b\r\n" % _line(reason))
+        self.answer(slot, answer)
 
     def _command(self, words: list[bytes], waited: float) -> None:
         slot, name = Slot(self), words[0].upper()
@@ -467,6 +470,13 @@
             if slot.answer is None:
                 self._owner.requests.left(slot.request)
 
+    def end(self) -> None:
+        """The gateway stops: half a command, or one in the socket, gets its answer unheard. Whoever is owed
+        one comes to rest by itself, as requests end with their time."""
+        owed = self.slots or self._rest or self._ending
+        if not (owed or cast(asyncio.Transport, self._transport).is_closing()):
+            self._last(b"-BUSY\r\n")
+
     def resting(self) -> bool:
         """Between requests, with nothing unread in the socket; what is unwritten goes out before a close."""
         transport = cast(asyncio.Transport, self._transport)
@@ -523,7 +533,7 @@
         self._heeder: asyncio.TimerHandle | None = None
         self._last_came = 0.0
         self.closing = self._stopping = False
-        # Every request has ended by then; only half a command can hold a connection open for longer.
+        # Every request has ended by then, but for large values that still flow; half a command may be left.
         self._longest = max(c.deadline for c in config.settings.classes) / SECOND + QUIET
 
     async def start(self) -> None:
@@ -604,26 +614,36 @@
 
     async def drain(self) -> None:
         """Take what comes until new connections cease, answer all of it, close what rests. Where the
-        platform holds the listening socket, what is not accepted yet is the next process's."""
-        self._stopping, loop = True, asyncio.get_running_loop()
-        self._last_came = loop.time()
-        latest = self._last_came + (DOOR_MOST if self._passed is None else 0.0)
-        while (left := min(latest, self._last_came + QUIET) - loop.time()) > 0:
-            await asyncio.sleep(left)
-            # A loop that lagged wakes with its timer due and connections still in the accept queue: look
-            # once more, or they would be closed unread.
-            await asyncio.sleep(ACCEPT_LOOK)
-        cast(asyncio.Server, self._server).close()
-        self.closing = True
-        end = loop.time() + self._longest
-        while self.count() and loop.time() < end:
-            silent = loop.time() - FIRST_WORD
-            for client in [*self._fresh, *self._clients]:
-                if (client.said or client.seen < silent) and client.resting():
+        platform holds the listening socket, what is not accepted yet is the next process's. Whoever is
+        still owed an answer is waited for: each request ends with its own time, and the rest soon after."""
+        own, start = self._passed is None, self.time()
+        self._stopping, self._last_came = True, start
+        rest_from = start + QUIET * own
+        while self.taking_in() or self.count():
+            now = self.time()
+            if self.taking_in() and now >= min(start + DOOR_MOST, self._last_came + QUIET) * own:
+                self._close_door(own)
+            self.closing = now >= rest_from
+            for client in [*self._fresh, *self._clients] if self.closing else []:
+                if (client.said or client.seen < now - FIRST_WORD) and client.resting():
                     client.close()
+                elif now >= rest_from + self._longest:
+                    client.end()
             await asyncio.sleep(IDLE_LOOK)
         self.shut()
 
+    def taking_in(self) -> bool:
+        return self._server is not None
+
+    def _close_door(self, own: bool) -> None:
+        """Not while somebody stands before it: who is in the accept queue would be reset, unread."""
+        server = cast(asyncio.Server, self._server)
+        look = select.poll()
+        look.register(server.sockets[0].fileno(), select.POLLIN)
+        if not (own and look.poll(0)):
+            server.close()
+            self._server = None
+
     def shut(self) -> None:
         """Close everything as it stands."""
         for timer in (self._looker, self._heeder):
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -246,27 +246,33 @@
     run(test)
 
 
+@asynccontextmanager
+async def launched(folder: Path, agent: Agent, **more: str) -> AsyncIterator[asyncio.subprocess.Process]:
+    """A gateway's process, from its first moment."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw_config(agent.port)))
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}", **more},
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
 @asynccontextmanager
 async def running(folder: Path, **more: str) -> AsyncIterator[Process]:
     agent, backend = Agent(), Backend()
     async with listening(agent), listening(backend):
         agent.first = listing(1, host("s-1", backend.port))
-        path = folder / "config.json"
-        path.write_text(json.dumps(raw_config(agent.port)))
-        process = await asyncio.create_subprocess_exec(
-            *COMMAND, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": f"{LOCAL}:{agent.port}",
-                 **more},
-        )
-        try:
+        async with launched(folder, agent, **more) as process:
             assert process.stderr is not None
             while b"listening on" not in (line := await soon(process.stderr.readline())):
                 assert line, "ended before it listened"
-            yield Process(process, int(line.rsplit(b":", 1)[1]), backend, path)
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+            yield Process(process, int(line.rsplit(b":", 1)[1]), backend, folder / "config.json")
 
 
 def test_sigterm_answers_all_that_was_taken_and_what_still_comes_then_exits_0(tmp_path: Path) -> None:
--- /dev/null
+++ b/tests/test_net_stop.py
@@ -0,0 +1,88 @@
+"""A gateway that is told to end: all that was taken gets its one answer, whatever comes in between."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from badgerspindle.net import clients
+
+from .fakes import Agent, Backend, call, listening, run, served, soon, until, world
+from .test_net_process import launched, running
+
+@pytest.fixture
+def door_shuts_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "QUIET", 0.0)
+
+
+@pytest.mark.usefixtures("door_shuts_at_once")
+def test_request_is_answered_though_it_lasts_longer_than_stopping_was_to() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.node.clients._longest = -1.0
+            client = await w.client()
+            client.send(call(number=1))
+            connection, _ = await w.backend.command()
+            stopping = asyncio.create_task(w.node.stop())
+            await until(lambda: w.node.clients.closing)
+            connection.send(served(b"v"))
+            assert [await client.next(), await client.next()] == [b"v", None]
+            stopping.cancel()
+
+    run(test)
+
+
+@pytest.mark.usefixtures("door_shuts_at_once")
+def test_half_a_command_is_answered_and_not_reset_at_the_end() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.node.clients._longest = -1.0
+            client = await w.client()
+            client.send(call(number=1)[:-3])
+            await until(lambda: any(c._half for c in w.node.clients._fresh))
+            stopping = asyncio.create_task(w.node.stop())
+            assert str(await client.next()) == "BUSY"
+            client.send(call(number=1)[-3:])  # crosses the end: read and dropped, or it would be reset
+            assert await client.next() is None
+            client.writer.close()
+            await until(lambda: w.node.clients.count() == 0)
+            assert w.backend.commands.empty()
+            stopping.cancel()
+
+    run(test)
+
+
+def test_signals_twice_and_mixed_take_no_answer_along(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as p:
+            client = await p.client()
+            client.send(call(number=1))
+            connection, _ = await p.backend.command()
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+                p.process.send_signal(number)
+            await p.logged(b"stopping")
+            p.process.send_signal(signal.SIGHUP)
+            p.process.send_signal(signal.SIGTERM)
+            connection.send(served(b"v"))
+            assert [await client.next(), await client.next()] == [b"v", None]
+            assert await soon(p.process.wait()) == 0
+
+    run(test)
+
+
+def test_signals_while_starting_end_it_in_good_order(tmp_path: Path) -> None:
+    """Discovery is silent, so the start waits for its word; both signals come meanwhile."""
+
+    async def test() -> None:
+        agent, backend = Agent(), Backend()
+        async with listening(agent), listening(backend), launched(tmp_path, agent) as process:
+            await soon(agent.asked.get())
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGTERM)
+            assert await soon(process.wait()) == 0
+
+    run(test)
