Give what comes while stopping no longer than the platform waits with SIGKILL

Seen: a request on a connection that never rests, taken while stopping, had its whole deadline (test). By the protocol SIGKILL comes 0.7 s and the longest deadline after SIGTERM, but counts no more than 3 s of it, and loses what came later than 0.7 s and is unanswered: with a deadline of 6 s and a hung order server, lost. Cause: Node.take knew nothing of the stop. Not taken: refusing all that comes late, which loses what can still be served (a lagging loop reads late). Now: from SIGTERM on a request's time ends 0.1 s before that kill; the module decides within it, as ever.

--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -56,6 +56,8 @@
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
 FIRST_LIST = 0.5  # s to wait for discovery at the start before the door opens without a list
 KNOWN_LIST = 0.15  # the same where a list last known can serve meanwhile: requests already come
+KILL_AFTER, KILL_DEADLINE = 7 * SECOND // 10, 3 * SECOND  # SIGKILL: so long after SIGTERM and this deadline
+KILL_MARGIN = SECOND // 10  # before it, for answers on their way
 TALLY = 10.0  # s between lines on how attempts ended
 TELL_ON = 0.4  # s over the longest deadline that a stopping gateway still has word for its peers
 USED_MOST = 60_000  # percent of a quota in use that the module is told at most
@@ -94,6 +96,7 @@
         self._out: set[int] = set()  # backends that operators have left out, as the module was told
         self._figures = Figures(config.classes)
         self._told = asyncio.Event()
+        self._end_by = 1 << 62  # no request lasts longer: far off, until the gateway stops
         self._ends: Counter[Outcome] = Counter()  # attempts since the last line on them
         self._counts: Counter[Outcome] = Counter()  # likewise calls to the quota counter
         self._teller: asyncio.TimerHandle | None = None
@@ -163,7 +166,10 @@
     async def stop(self) -> None:
         """End in good order: all that was taken is answered first."""
         settings = self.config.settings
-        end = self._loop.time() + max(c.deadline for c in settings.classes) / SECOND + TELL_ON
+        longest = max(c.deadline for c in settings.classes)
+        end = self._loop.time() + longest / SECOND + TELL_ON
+        # What comes from now on has its answer before the platform may kill this process.
+        self._end_by = self.now() + min(longest, KILL_DEADLINE) + KILL_AFTER - KILL_MARGIN
         await self.clients.drain()
         if self._teller is not None:
             self._teller.cancel()
@@ -288,7 +294,7 @@
             raise BadCall("a request with this id is open")
         now, number = self.now(), next(self._numbers)
         wait = min(call.wait_ms * MILLISECOND, self.config.settings.classes[call.cls].deadline)
-        valid_until = now + max(0, wait - int(waited * SECOND) - MARGIN)
+        valid_until = min(now + max(0, wait - int(waited * SECOND) - MARGIN), self._end_by)
         request = Request(call, slot, valid_until)
         self._ids.add(call.id)
         slot.request = number
--- a/tests/test_net_stop.py
+++ b/tests/test_net_stop.py
@@ -8,11 +8,16 @@
 
 import pytest
 
-from badgerspindle.net import clients
+from badgerspindle.interface import Arrival, Send
+from badgerspindle.net import clients, gateway
 
 from .fakes import Agent, Backend, call, listening, run, served, soon, until, world
+from .test_net_clients import only_backend, script
 from .test_net_process import launched, running
 
+SECOND = 1_000_000_000
+
+
 @pytest.fixture
 def door_shuts_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "QUIET", 0.0)
@@ -55,6 +60,34 @@
     run(test)
 
 
+@pytest.mark.usefixtures("door_shuts_at_once")
+def test_request_that_comes_while_stopping_ends_before_the_platform_kills(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """On a connection that never rests, a request may come late and have a long deadline."""
+    monkeypatch.setattr(gateway, "KILL_DEADLINE", SECOND // 2)
+
+    async def test() -> None:
+        async with world() as w:
+            backend = only_backend(w)
+            s = script(w, *[lambda a: [Send(a.request, backend, 0)]] * 2)
+            client = await w.client()
+            client.send(call(number=1))
+            first, _ = await w.backend.command()
+            stopping = asyncio.create_task(w.node.stop())
+            await until(lambda: w.node.clients.closing)
+            killed = w.node.now() + SECOND // 2 + 7 * SECOND // 10
+            client.send(call(number=2))
+            second, _ = await w.backend.command()
+            assert [a.valid_until < killed for a in s.of(Arrival)] == [False, True]
+            first.send(served(b"1"))
+            second.send(served(b"2"))
+            assert [await client.next() for _ in range(3)] == [b"1", b"2", None]
+            stopping.cancel()
+
+    run(test)
+
+
 def test_signals_twice_and_mixed_take_no_answer_along(tmp_path: Path) -> None:
     async def test() -> None:
         async with running(tmp_path) as p:
