Write no repeat of a keyed request once its window is over

Seen: a repeat decided within the window, on a connection that came up after it, was written (test). Cause: repeat_filter looks at the time of the decision alone; _Pool.connected wrote whenever the connection came up. Ruled out: reused connections, which are written in the turn of the decision. Now: Send carries `before`, the end of the window, from the module; the pool does not write from then on and tells CONNECT_FAILED: that attempt never ran. Drains keep their own limit at the same place.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -41,6 +41,11 @@
     return lambda b: cls.group is Group.ALL or b.cell == first.cell
 
 
+def repeat_until(cls: RequestClass, request: Open) -> int:
+    """Rule 2: from when on a keyed request that may have run is not written any more; 0 for no such time."""
+    return request.keyed_at + cls.window if request.may_have_run and cls.repeat is Repeat.KEYED else 0
+
+
 class Fleet:
     """The list of backends, their health from symptoms, cold budgets, and the choice among them."""
 
--- a/badgerspindle/interface.py
+++ b/badgerspindle/interface.py
@@ -241,11 +241,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; `timeout` 0 means until the client gives up."""
+    """Start an attempt; `timeout` 0 means until the client gives up. Where a connection comes up late, it is
+    not written any more from `before` on; 0 sets no such time."""
 
     request: int
     backend: int
     timeout: int
+    before: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/badgerspindle/logic.py
+++ b/badgerspindle/logic.py
@@ -10,7 +10,7 @@
 from collections import deque
 from math import ceil
 
-from .fleet import Fleet, repeat_filter
+from .fleet import Fleet, repeat_filter, repeat_until
 from .interface import (
     NEVER_RAN, Action, AddToCounter, Arrival, AttemptEnded, Begun, Cancel, ClientLeft, CloseIdle, Counted,
     Event, Fail, Group, LeaveOut, ListKind, LogLine, Outcome, PeerMessage, Refuse, Repeat, Send, SetTimer,
@@ -584,8 +584,8 @@
         a = request.arrival
         if now >= a.valid_until or request.sends >= self.s.max_attempts:
             return None
-        allowed = repeat_filter(now, self.s.classes[a.cls], request)
-        kind = a.cls, a.plan
+        cls, kind = self.s.classes[a.cls], (a.cls, a.plan)
+        allowed = repeat_filter(now, cls, request)
         server = self.fleet.choose(now, kind, request.tried, allowed)
         if server is None and not elsewhere:
             server = self.fleet.choose(now, kind, set(), allowed)
@@ -598,9 +598,9 @@
             request.keyed_at, request.keyed_by = now, server.entry
         request.sends, request.out, request.sent_at = request.sends + 1, request.out + 1, now
         request.usual, request.backend = int(self.model.latency[a.cls].value), server.entry.id
-        request.overlong = max(self.s.classes[a.cls].aim // 2, OVERLONG * request.usual)
+        request.overlong = max(cls.aim // 2, OVERLONG * request.usual)
         request.account.open, self.out = request.account.open + 1, self.out + 1
-        return Send(a.request, server.entry.id, self._patience(now, request))
+        return Send(a.request, server.entry.id, self._patience(now, request), repeat_until(cls, request))
 
     def _patience(self, now: int, request: Open) -> int:
         """Time-out of an attempt, or 0: guards against lost answers, hung backends, classes left unanswered,
--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -62,15 +62,16 @@
 class Attempt:
     """One try of one request at one backend."""
 
-    __slots__ = ("backend", "begun", "expires", "index", "link", "over", "parts", "request", "started",
-                 "timer")
+    __slots__ = ("backend", "before", "begun", "expires", "index", "link", "over", "parts", "request",
+                 "started", "timer")
 
     def __init__(
         self, request: int, index: int, backend: int, started: int, expires: int,
-        parts: tuple[tuple[bytes, ...], bytes, bytes, tuple[bytes, ...]],
+        parts: tuple[tuple[bytes, ...], bytes, bytes, tuple[bytes, ...]], before: int = 0,
     ) -> None:
         self.request, self.index, self.backend = request, index, backend
         self.started, self.expires = started, expires
+        self.before = before  # from when on it is not written any more; 0 for no such time
         self.parts = parts
         self.begun = 0  # when a large value's first bytes came
         self.over = False  # its one end was told
@@ -402,11 +403,12 @@
     def connected(self, link: _Link) -> None:
         attempt = cast(Attempt, link.attempt)
         link.quiet()
-        if self.closing_at is not None and self.owner.loop.time() >= self.closing_at:
-            # Rule 3: decided before the drain was told, but too late to be written now.
+        now, drained = self.owner.clock(), self.closing_at is not None
+        if (drained and self.owner.loop.time() >= cast(float, self.closing_at)) or 0 < attempt.before <= now:
+            # Rules 3 and 2: decided before the drain was told, or within a key's window, but too late now.
             self._too_late(link)
             return
-        link.write(attempt, self.owner.clock())
+        link.write(attempt, now)
 
     def release(self, link: _Link) -> None:
         """Back to the top of the stack: the rest below grow old and are retired."""
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -485,7 +485,7 @@
         expires = now + (action.timeout if timeout is not None else left)
         call = request.call
         attempt = Attempt(action.request, index, action.backend, now, expires,
-                          (call.front, call.head, call.tail, call.body))
+                          (call.front, call.head, call.tail, call.body), action.before)
         request.out[index] = attempt
         self.backends.start(attempt, timeout)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -105,6 +105,7 @@
         (send,) = sends(g.handle(MS, arrival(request, MS, KEYED)))
         (again,) = sends(g.handle(2 * MS, ended(request, send.backend, Outcome.ERROR)))
         assert cells[again.backend] == cells[send.backend]
+        assert (send.before, again.before) == (0, MS + 2 * SECOND)
         late = ended(request, again.backend, Outcome.ERROR, attempt=1)
         assert g.handle(3 * SECOND, late) == [Fail(request)]
         g = Gateway(settings(), request, 0)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -39,11 +39,12 @@
         self.sink: Sink | None = None
 
     def start(
-        self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7
+        self, request: int, body: bytes = b"B", timeout: float | None = None, backend: int = 7,
+        before: int = 0,
     ) -> Attempt:
         now = CLOCK()
         parts = ((b"CALL.POST", b"c", b"i"), b"c=x,", b",k=y", (body,))
-        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, parts)
+        attempt = Attempt(request, 0, backend, now, now + 3 * SECOND, parts, before)
         self.pools.start(attempt, timeout)
         return attempt
 
@@ -525,6 +526,21 @@
     run(test)
 
 
+def test_nothing_still_connecting_is_written_past_the_window_of_its_key() -> None:
+    """A repeat decided within the window, on a connection that comes up when the window is over."""
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend) as b:
+            b.start(1, before=CLOCK())
+            assert (await b.end())[:2] == (1, Outcome.CONNECT_FAILED)
+            b.start(2, before=CLOCK() + 60 * SECOND)
+            assert (await backend.command())[1][2] == b"i" and backend.commands.empty()
+            assert b.pools.open == 1
+
+    run(test)
+
+
 def test_attempt_ends_once_though_it_is_given_up_while_its_failure_is_on_its_way() -> None:
     async def test() -> None:
         async with bench(port=1) as b:
