--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -361,9 +361,6 @@
             link.write(attempt, now)
             return
         if not self.owner.room():
-            if (link := self._free(0.0)) is not None:
-                link.write(attempt, now)
-                return
             # Out of descriptors: told as what it is, a connection that never came up.
             self.owner.loop.call_soon(self.owner.fail_unsent, attempt)
             return
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -587,3 +587,21 @@
             client.abort()
 
     run(test)
+
+
+def test_connection_that_has_not_rested_gives_way_rather_than_take_the_next_request() -> None:
+    """With no room for another, a second copy of its answer would be taken for the next request's."""
+
+    async def test() -> None:
+        backend = Backend()
+        async with bench(backend, most=1) as b:
+            b.pools.time = lambda: 100.0
+            for number in range(3):
+                b.start(number)
+                connection, _ = await backend.command()
+                assert connection is backend.connections[number]
+                connection.send(served(b"v"))
+                assert (await b.end())[:2] == (number, Outcome.OK)
+                assert b.pools.open == 1
+
+    run(test)
