--- /dev/null
+++ b/tests/test_fleet_quota.py
@@ -0,0 +1,123 @@
+"""Quotas hold for the fleet: what passes beyond them on a quiet day costs little more than lateness must."""
+
+from __future__ import annotations
+
+import random
+from heapq import heappop, heappush
+from itertools import count
+
+import pytest
+
+from badgerspindle.interface import (
+    AddToCounter, Counted, Event, ListKind, Outcome, Send, SetTimer, TimerFired,
+)
+from badgerspindle.logic import Gateway
+
+from .helpers import MS, SECOND, arrival, backend, ended, full_list, plan, settings
+
+GATEWAYS, CUSTOMERS, SECONDS = 20, 60, 30
+PLAN = plan(rate=1.0, burst=4.0, over_cost=0.5)
+LATE = SECOND // 2  # by which the policy that it is held against sees the state
+Try = tuple[int, int, int]  # when, customer, gateway
+
+
+class Store:
+    """One customer's true store, with what it held before, for a policy that sees it late."""
+
+    def __init__(self) -> None:
+        self.past = [(0, PLAN.burst)]
+
+    def level(self, now: int) -> float:
+        at, level = next((word for word in reversed(self.past) if word[0] <= now), self.past[0])
+        return min(PLAN.burst, level + PLAN.rate * max(0, now - at) / SECOND)
+
+    def take(self, now: int) -> bool:
+        """Whether a try that is sent on now is inside the quota."""
+        if inside := (level := self.level(now)) >= 1.0:
+            self.past.append((now, level - 1.0))
+        return inside
+
+
+def quiet_day(rng: random.Random) -> list[Try]:
+    """Most customers use a part of their quota, some nearly all, a few far more; each by some gateways."""
+    tries: list[Try] = []
+    for customer in range(CUSTOMERS):
+        draw = rng.random()
+        use = rng.uniform(0.15, 0.5) if draw < 0.72 else rng.uniform(0.85, 1.0) if draw < 0.9 else 5.0
+        now = 0.0
+        while (now := now + rng.expovariate(use * PLAN.rate)) < SECONDS:
+            tries.append((int(now * SECOND), customer, (customer + rng.randrange(GATEWAYS // 2)) % GATEWAYS))
+    return sorted(tries)
+
+
+def sent_on(tries: list[Try], calls_per_s: int) -> list[tuple[int, int]]:
+    """When the fleet sent which customer's tries on, with a counter that serves so many calls a second."""
+    made = settings(gateways=GATEWAYS, may_message=False, counter=True, plans=(PLAN,))
+    fleet = [Gateway(made, position + 7, 0) for position in range(GATEWAYS)]
+    numbers, events = dict[int, float](), list[tuple[int, int, int, Event]]()
+    order, sent, served = count(), list[tuple[int, int]](), [0] * (SECONDS + 60)
+    for position in range(GATEWAYS):
+        listed = full_list(*map(backend, range(1, 9)), kind=ListKind.CACHED)
+        heappush(events, (0, next(order), position, listed))
+    for number, (now, customer, position) in enumerate(tries):
+        a = arrival(number, now, customer=customer, spread=GATEWAYS // 2, first=customer % GATEWAYS)
+        heappush(events, (now, next(order), position, a))
+    while events and (now := events[0][0]) < (SECONDS + 5) * SECOND:
+        _, _, position, event = heappop(events)
+        for action in fleet[position].handle(now, event):
+            match action:
+                case Send(request, server):
+                    sent.append((now, tries[request][1]))
+                    heappush(events, (now + 100 * MS, next(order), position, ended(request, server)))
+                case SetTimer(after, token):
+                    heappush(events, (now + after, next(order), position, TimerFired(token)))
+                case AddToCounter(name, _, amount):
+                    served[now // SECOND] += 1
+                    if busy := served[now // SECOND] > calls_per_s:
+                        word = Counted(2 * MS, Outcome.FULL, name, 0.0)
+                    else:
+                        numbers[name] = numbers.get(name, 0.0) + amount
+                        word = Counted(2 * MS, Outcome.OK, name, numbers[name])
+                    assert busy or word.total == numbers[name]
+                    heappush(events, (now + 2 * MS, next(order), position, word))
+    return sent
+
+
+def within(tries: list[Try]) -> int:
+    """Tries that one gateway which saw them all would let in."""
+    stores = [Store() for _ in range(CUSTOMERS)]
+    return sum(stores[customer].take(now) for now, customer, _ in tries)
+
+
+def price(sent: list[tuple[int, int]], tries: list[Try]) -> float:
+    """What the tries sent on beyond their quota take off the result."""
+    stores = [Store() for _ in range(CUSTOMERS)]
+    return PLAN.over_cost * sum(not stores[customer].take(now) for now, customer in sent) / within(tries)
+
+
+def late_policy(tries: list[Try]) -> list[tuple[int, int]]:
+    stores, sent = [Store() for _ in range(CUSTOMERS)], list[tuple[int, int]]()
+    for now, customer, _ in tries:
+        if stores[customer].level(max(0, now - LATE)) >= 1.0:
+            stores[customer].take(now)
+            sent.append((now, customer))
+    return sent
+
+
+@pytest.mark.parametrize("calls_per_s", [10_000, 15])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_what_passes_beyond_quotas_on_a_quiet_day_costs_little_more_than_with_late_sight(
+    seed: int, calls_per_s: int
+) -> None:
+    tries = quiet_day(random.Random(seed))
+    sent, late = sent_on(tries, calls_per_s), late_policy(tries)
+    assert price(sent, tries) <= price(late, tries) + 0.1
+    assert len(sent) >= 0.85 * within(tries)  # nor by refusing what has room
+
+
+def test_gateways_that_each_grant_the_whole_quota_would_cost_more() -> None:
+    """The bound above can be missed."""
+    tries = quiet_day(random.Random(1))
+    alone = [[Store() for _ in range(CUSTOMERS)] for _ in range(GATEWAYS)]
+    sent = [(now, customer) for now, customer, position in tries if alone[position][customer].take(now)]
+    assert price(sent, tries) > price(late_policy(tries), tries) + 0.1
