Look once more for the agent's word before the list last known serves

Seen: a starting gateway whose loop lagged behind the 0.15 s that it waits for discovery opened its door on the list last known, though the agent's list lay in its socket (test, every time): timers run before sockets. What the agent has binds from the first moment of a new process. Now: when the time is over the loop turns to its sockets once more. While discovery is down the agent is silent and nothing can be known: then the list last known serves as before. Also tested and ruled out: bytes that one write does not take and the loop writes later count as out in the turn in which they go (reset right behind the last byte of 8 MiB: RESET, never "never ran").

--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -56,6 +56,7 @@
 FAULT_RETRY = SECOND // 10  # until a timer whose event met a fault fires again: the beat must go on
 FIRST_LIST = 0.5  # s to wait for discovery at the start before the door opens without a list
 KNOWN_LIST = 0.15  # the same where a list last known can serve meanwhile: requests already come
+LIST_LOOK = 0.01  # s in which the loop surely turns to its sockets once more
 KILL_AFTER, KILL_DEADLINE = 7 * SECOND // 10, 3 * SECOND  # SIGKILL: so long after SIGTERM and this deadline
 KILL_MARGIN = SECOND // 10  # before it, for answers on their way
 TALLY = 10.0  # s between lines on how attempts ended
@@ -144,7 +145,10 @@
             async with asyncio.timeout(KNOWN_LIST if self.backends.usable() else FIRST_LIST):
                 await self._told.wait()
         except TimeoutError:
-            log.warning("no word from discovery yet, starting with the list last known")
+            # A loop that lagged wakes with its timer due and the word unread in the socket, which binds.
+            await asyncio.sleep(LIST_LOOK)
+            if not self._told.is_set():
+                log.warning("no word from discovery yet, starting with the list last known")
         if self.succession is not None and (state := await self.succession.inherit()) is not None:
             self._inherit(state)
         await self.clients.start()
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -332,6 +332,29 @@
     run(test)
 
 
+@pytest.mark.parametrize("size", [1, 8 << 20])
+def test_reset_right_behind_the_last_byte_may_have_run_however_late_that_was_written(size: int) -> None:
+    """What one write does not take is written later, by the loop itself: out is out from then on."""
+
+    async def test() -> None:
+        with closing(socket.create_server((LOCAL, 0))) as server:
+            async with bench(port=server.getsockname()[1]) as b:
+                loop = asyncio.get_running_loop()
+                server.setblocking(False)
+                b.start(1, body=b"x" * (size - 1) + b"y")
+                taken, _ = await soon(loop.sock_accept(server))
+                taken.setblocking(False)
+                data = b""
+                while not data.endswith(b"y\r\n"):
+                    data = await soon(loop.sock_recv(taken, 1 << 20))
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                taken.close()
+                assert (await b.end())[:2] == (1, Outcome.RESET)
+                assert b.figures.tries == 1
+
+    run(test)
+
+
 def test_pooled_connection_that_ended_unnoticed_is_not_written_to(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(backends, "SETTLE", 0.0)
 
--- a/tests/test_net_lists.py
+++ b/tests/test_net_lists.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import time
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from badgerspindle.interface import Backend, Health, ListKind, PeerMessage
 from badgerspindle.net import discovery, gateway
+from badgerspindle.net.clients import Clients
 from badgerspindle.net.config import Address, parse
 from badgerspindle.net.discovery import Discovery, ListError, Update, backend_id, parse_update
 from badgerspindle.net.gateway import Node
@@ -310,6 +312,42 @@
     run(test)
 
 
+class Lagging(asyncio.Protocol):
+    """An agent that answers at once, within a turn of the loop that then lasts too long."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.descriptor = transport.get_extra_info("socket").fileno()
+
+    def data_received(self, data: bytes) -> None:
+        line = json.dumps(listing(6, host("s-1", 1, "terminating"))).encode() + b"\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        os.write(self.descriptor, head + b"%x\r\n%b\r\n" % (len(line), line))
+        time.sleep(0.06)
+
+
+def test_word_of_the_agent_counts_though_the_starting_loop_lagged(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the agent has binds from the first moment: the list last known must not serve beside it."""
+    monkeypatch.setattr("badgerspindle.net.gateway.KNOWN_LIST", 0.05)
+    ready: list[bool] = []
+
+    async def test() -> None:
+        agent = await asyncio.get_running_loop().create_server(Lagging, LOCAL, 0)
+        node = Node(config(agent.sockets[0].getsockname()[1], listing(5, host("s-1", 1))))
+
+        async def opened() -> None:
+            ready.append(node.ready())
+            await Clients.start(node.clients)
+
+        monkeypatch.setattr(node.clients, "start", opened)
+        await soon(node.start())
+        assert ready == [False]
+        await node.discovery.close()
+        node.clients.shut()
+        agent.close()
+
+    run(test)
+
+
 def test_without_any_list_a_ping_is_not_answered_with_pong(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         monkeypatch.setattr("badgerspindle.net.gateway.FIRST_LIST", 0.01)
