--- a/tests/test_net_stop.py
+++ b/tests/test_net_stop.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import signal
+import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -11,11 +15,12 @@
 from badgerspindle.interface import Arrival, Send
 from badgerspindle.net import clients, gateway
 
-from .fakes import Agent, Backend, call, listening, run, served, soon, until, world
+from .fakes import Agent, Backend, call, listening, raw_config, run, served, soon, until, world
 from .test_net_clients import only_backend, script
 from .test_net_process import launched, running
 
 SECOND = 1_000_000_000
+ROOT = Path(__file__).parent.parent
 
 
 @pytest.fixture
@@ -119,3 +124,31 @@
             assert await soon(process.wait()) == 0
 
     run(test)
+
+
+def test_new_configuration_told_before_the_program_can_hear_does_not_end_it(tmp_path: Path) -> None:
+    """Until Python has loaded it the signal would have its default, which kills."""
+
+    async def test() -> None:
+        agent = Agent()
+        path = tmp_path / "config.json"
+        async with listening(agent):
+            path.write_text(json.dumps(raw_config(agent.port)))
+            line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+            process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", line.replace(".venv/bin/python", sys.executable), cwd=ROOT,
+                stderr=asyncio.subprocess.DEVNULL, env={**os.environ, "ROUTER_CONFIG": str(path)},
+            )
+            try:
+                words = Path(f"/proc/{process.pid}/cmdline")
+                await until(lambda: words.read_bytes().startswith(sys.executable.encode()))
+                process.send_signal(signal.SIGHUP)
+                await soon(agent.asked.get())
+                process.send_signal(signal.SIGTERM)
+                assert await soon(process.wait()) == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
+
+    run(test)
