--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -122,7 +122,9 @@
         folder = config.folder if config.passed is not None else None
         self.succession = None if folder is None else Succession(folder, config.name, self)
         self.door = None if config.operator is None else Door(config.operator, self)
-        self.discovery = Discovery(config.discovery, config.zones, config.kinds, index, self._listed)
+        self.discovery = Discovery(
+            config.discovery, config.zones, config.kinds, index, self._listed, settings.drain_grace / SECOND
+        )
 
     async def start(self) -> None:
         """Open the sockets; the clients' comes last, when requests can be served."""
@@ -307,6 +309,9 @@
             self._handle(ClientLeft(number))
             if request.bound is not None:
                 self.backends.cancel(request.bound)
+            # What still connects would be written long after its client went.
+            for attempt in list(request.out.values()):
+                self.backends.spare(attempt)
 
     def time_is_up(self, number: int) -> None:
         """The client's time is up: attempts still out end, and the request gets an answer come what may."""
