Call discovery again in time for changes that count as told after 6 s

Ruled out: refused, reset and hung calls alone (2 s at most, or half of the drain grace, and 5 s of silence), though a hung call's wait could bring the next to 7 s after its start. A head with no body behind it counted as heard; half an indented object counted as a well watch. Change: Pacing is the one place that says when discovery is called next: the call begins 0.6 s before a change counts as told, counted once from what a well watch brought last, then from the start of each failed call; 4 s after a move; 3 s while no list is known. Calls turned away come in the last third of that time, 0.85 of it at the earliest whatever Retry-After says, or a fleet told alike would come in step. Not run here: a play with a real process and seconds of waiting.

--- a/badgerspindle/net/discovery.py
+++ b/badgerspindle/net/discovery.py
@@ -22,7 +22,11 @@
 CONNECT = 1.0  # s for the agent, which is on this machine
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 2.0  # s between watches; doubles, and a watch that was well resets it
 BACKOFF_GRACE = 0.5  # part of the drain grace at most: what the agent has binds as if it had told us
-CROWDED_FIRST, CROWDED_MOST = 1.0, 16.0  # the same where discovery turns the call away: all gateways call it
+TOLD, MOVED = 6.0, 4.0  # s after which a change counts as told, whatever came of the calls; after a move
+IN_FORCE = 0.6  # s of it for the call that brings it: a list of 7,100 takes 0.45 s on a third of a core
+FIRST_TOLD = 3.0  # s, in TOLD's place, while no list at all is known: nobody is served until there is one
+CROWD_EARLIEST = 2 / 3  # part of the time left before which nobody calls a discovery that turned it away ...
+CROWD_ADVISED = 0.85  # ... and the same where it asked for longer: a fleet told alike must not come in step
 LINE = 4 << 20  # bytes of one object: some 20,000 entries; more is no list
 LEAVING_MOST = 1024  # backends that are remembered as leaving: several whole fleets
 MILLISECOND = 1_000_000
@@ -80,6 +84,50 @@
     return names.index(name) if name in names else len(names)
 
 
+class Pacing:
+    """When discovery is called next. Every call is begun early enough that one which succeeds is in force
+    before a change counts as told, counted from what was last known, or from the start of a failed call.
+    Times are seconds of the loop's clock, waits seconds."""
+
+    __slots__ = ("_backoff", "_backoff_most", "_due", "_rng")
+
+    def __init__(self, drain_grace: float, rng: random.Random) -> None:
+        self._backoff, self._backoff_most = BACKOFF_FIRST, min(BACKOFF_MOST, BACKOFF_GRACE * drain_grace)
+        self._due: float | None = None  # for the first call that succeeds after what was known
+        self._rng = rng
+
+    def known(self, at: float, told: float = TOLD) -> None:
+        """All that discovery had at that time is known."""
+        self._backoff, self._due = BACKOFF_FIRST, at + told - IN_FORCE
+
+    def after_break(self) -> float:
+        """The wait before a watch that was well is opened anew. Jitter, or gateways whose agents broke
+        together would come back together."""
+        return BACKOFF_FIRST * self._rng.uniform(0.5, 1.0)
+
+    def after_failure(self, called_at: float, now: float, told: float = TOLD) -> float:
+        """The wait after a call that was refused, reset, spoilt or never answered."""
+        left = max(BACKOFF_FIRST, self._left(called_at, now, told))
+        backoff = min(self._backoff, self._backoff_most, left)
+        self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
+        return backoff * self._rng.uniform(0.5, 1.0)
+
+    def after_refusal(self, called_at: float, now: float, retry_after: float, told: float = TOLD) -> float:
+        """The wait after a call that a crowded discovery turned away (429, 503): the longest that the next
+        may take, as a whole fleet that calls at once serves nobody."""
+        left = max(BACKOFF_FIRST, self._left(called_at, now, told))
+        earliest = min(CROWD_ADVISED, max(CROWD_EARLIEST, retry_after / left))
+        return left * self._rng.uniform(earliest, 1.0)
+
+    def _left(self, called_at: float, now: float, told: float) -> float:
+        """Until the next call is due. What a watch missed binds by when it was last well, and once; after
+        that a change can have come no sooner than the call that failed."""
+        due, self._due = self._due, None
+        if due is None or due - now < BACKOFF_FIRST:
+            due = called_at + told - IN_FORCE
+        return due - now
+
+
 class Discovery:
     """Keeps one watch open. The list last told goes on serving while there is none."""
 
@@ -88,12 +136,11 @@
         told: Callable[[Update], None], drain_grace: float = 2 * BACKOFF_MOST,
     ) -> None:
         self._agent = agent
-        self._backoff_most = min(BACKOFF_MOST, BACKOFF_GRACE * drain_grace)
+        self._pacing = Pacing(drain_grace, random.Random())
         self._zones, self._kinds = zones, kinds
         self._index = index
         self._told = told
         self._hosts: dict[str, Any] = {}  # the list as it was told last, for the next process
-        self._backoff, self._crowded = BACKOFF_FIRST, 0.0
         self._closed = False
         self._leaving: dict[int, int] = {}  # backends told to drain or be gone, and when each had started
         self._task: asyncio.Task[None] | None = None
@@ -106,7 +153,8 @@
         if agent == self._agent or self._closed:
             return
         log.info("discovery moves to %s:%d", *agent)
-        self._agent, self._backoff, self._crowded = agent, BACKOFF_FIRST, 0.0
+        self._agent = agent
+        self._pacing.known(asyncio.get_running_loop().time(), MOVED)
         if self._task is not None:
             self._task.cancel()
             self.start()
@@ -121,6 +169,7 @@
         loop = asyncio.get_running_loop()
         host, port = self._agent
         while True:
+            called_at = loop.time()
             watch = _Watch(f"{host}:{port}", self._index, self._line)
             try:
                 async with asyncio.timeout(CONNECT):
@@ -130,16 +179,18 @@
                 log.warning("discovery: %s", error or type(error).__name__)
             finally:
                 watch.close()
-            if watch.turned_away:
-                # Called again at once by a whole fleet it serves nobody; the list last known does meanwhile.
-                self._crowded = min(CROWDED_MOST, max(CROWDED_FIRST, 2 * self._crowded, watch.retry_after))
-                await asyncio.sleep(self._crowded * random.uniform(0.5, 1.5))
-                continue
-            if watch.well:
-                self._backoff, self._crowded = BACKOFF_FIRST, 0.0
-            # Jitter, or gateways whose agents broke together would come back together.
-            await asyncio.sleep(min(self._backoff, self._backoff_most) * random.uniform(0.5, 1.0))
-            self._backoff = min(BACKOFF_MOST, 2 * self._backoff)
+            await asyncio.sleep(self._wait(watch, called_at, loop.time()))
+
+    def _wait(self, watch: _Watch, called_at: float, now: float) -> float:
+        """Seconds to the next call, by what came of this one."""
+        told = FIRST_TOLD if self._index is None else TOLD
+        if watch.turned_away:
+            # The list last known does meanwhile.
+            return self._pacing.after_refusal(called_at, now, watch.retry_after, told)
+        if watch.well_at is None:
+            return self._pacing.after_failure(called_at, now, told)
+        self._pacing.known(watch.well_at)
+        return self._pacing.after_break()
 
     def _behind(self, update: Update) -> Update:
         """A whole list that is older than what is known, as of an agent that lags behind the one before it:
@@ -186,12 +237,12 @@
                 self._leaving[entry.id] = entry.booted
         while len(self._leaving) > LEAVING_MOST:
             del self._leaving[next(iter(self._leaving))]
-        self._index, self._backoff, self._crowded = update.topology.version, BACKOFF_FIRST, 0.0
+        self._index = update.topology.version
 
 
 def read_seconds(text: bytes) -> float:
     """A Retry-After in seconds; a date or anything else says nothing."""
-    return min(CROWDED_MOST, float(text)) if text.isdigit() and len(text) < 6 else 0.0
+    return float(text) if text.isdigit() and len(text) < 6 else 0.0
 
 
 class _Watch(asyncio.Protocol):
@@ -204,7 +255,7 @@
         self._host, self._index, self._told = host, index, told
         self._rest, self._lines = b"", list[bytes]()  # of the object that is still to be told whole
         self.turned_away, self.retry_after = False, 0.0  # s
-        self.well = False  # a line came, if only an empty one
+        self.well_at: float | None = None  # when what came was last whole, if only an empty line
         self._heard_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
@@ -231,7 +282,6 @@
             self._timer = self._loop.call_later(left, self._listen)
 
     def data_received(self, data: bytes) -> None:
-        self._heard_at = self._loop.time()
         try:
             self._http.receive_data(data)
             while not self.ended.done():
@@ -250,10 +300,12 @@
             self._end(str(error))
 
     def _read(self, data: bytes) -> None:
+        self._heard_at = self._loop.time()  # a head alone, with nothing behind it, is silence
         *lines, self._rest = (self._rest + data).split(b"\n")
-        self.well |= bool(lines)
         for line in lines:
             self._line(line)
+            if not self._lines:
+                self.well_at = self._heard_at
         if len(self._rest) + sum(map(len, self._lines)) > LINE:
             self._end("endless line")
 
