Ask the system whether the client has closed before each attempt begins

Cause: an attempt began whenever the module said so; that a client had gone was known only once the loop had read its end. A loop that lags, and input that is not read (looked at every 0.05 s), hid a close for longer than the 0.1 s that are granted: Node._send and _Pool.connected looked at request.closed alone. What the system has seen counts, however late the loop is.

--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -43,6 +43,7 @@
 Ending = tuple[Outcome, "bytes | None", Report]
 Done = Callable[["Attempt", Outcome, "bytes | None", Report], None]
 Begun = Callable[["Attempt", int, "Flow"], "Sink | None"]
+Wanted = Callable[["Attempt"], bool]  # whether its client still waits
 
 
 class Flow(Protocol):
@@ -405,6 +406,10 @@
             # Rules 3 and 2: decided before the drain was told, or within a key's window, but too late now.
             self._too_late(link)
             return
+        if not self.owner.wanted(attempt):
+            link.drop()
+            self.finish(attempt, Outcome.MOOT)
+            return
         link.write(attempt, now)
 
     def release(self, link: _Link) -> None:
@@ -444,12 +449,13 @@
     def __init__(
         self, most: int, connect_timeout: float, idle_limit: float, drain_grace: float,
         clock: Callable[[], int], done: Done, figures: Figures, begun: Begun,
+        wanted: Wanted = lambda attempt: True,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
         self.open = 0
         self.connect_timeout, self.ages = connect_timeout, Ages(idle_limit * RETIRE)
-        self.clock, self._figures, self.begun = clock, figures, begun
+        self.clock, self._figures, self.begun, self.wanted = clock, figures, begun, wanted
         self.most, self._whole, self._done = most, most, done
         self._grace = drain_grace * GRACE_PART
         self._pools: dict[int, _Pool] = {}
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -211,13 +211,16 @@
 class Client(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = ("_blocked", "_ending", "_frames", "_half", "_late", "_lingering", "_owner", "_read_on",
-                 "_reader", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "said", "seen", "slots")
+    __slots__ = (
+        "_blocked", "_end", "_ending", "_frames", "_half", "_late", "_lingering", "_owner", "_read_on",
+        "_reader", "_rest", "_rest_at", "_taking", "_transport", "_unsent", "said", "seen", "slots",
+    )
 
     def __init__(self, owner: Clients) -> None:
         self._owner = owner
         self._reader, self._frames = hiredis.Reader(), CommandFrames()
         self._transport: asyncio.Transport | None = None
+        self._end: select.poll | None = None  # tells of the client's end, read or not
         self._ending = False  # nothing more is taken; closed once all that was taken is answered
         self._lingering = 0.0  # when reading on ends, once the last answer is written
         self._late = 0  # bytes read on since then
@@ -304,14 +307,19 @@
                 (transport.resume_reading if read_on else transport.pause_reading)()
                 self._owner.heed(self, not read_on)
 
+    def closing(self) -> bool:
+        return cast(asyncio.Transport, self._transport).is_closing()
+
     def gone(self) -> bool:
-        """Whether the client has ended its sending: unread input hides that from whoever does not read."""
-        transport = cast(asyncio.Transport, self._transport)
-        if transport.is_closing():
-            return False
-        look = select.poll()
-        look.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(look.poll(0))
+        """Whether the client has ended its sending, told by the system itself: unread input hides that from
+        whoever does not read, and a loop that lags has not read it yet."""
+        if self.closing():
+            return True
+        if self._end is None:
+            transport = cast(asyncio.Transport, self._transport)
+            self._end = select.poll()
+            self._end.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(self._end.poll(0))
 
     def pause_writing(self) -> None:
         self._blocked = self._owner.time()
@@ -598,7 +606,7 @@
     def _heed(self) -> None:
         self._heeder = None
         for client in list(self._unread):
-            if client.gone():
+            if not client.closing() and client.gone():
                 client.abort()
         if self._unread:
             self._heeder = self._later(GONE_LOOK, self._heed)
--- a/badgerspindle/net/gateway.py
+++ b/badgerspindle/net/gateway.py
@@ -106,7 +106,7 @@
         self.backends = Backends(
             int(spare * BACKEND_PART), config.connect_timeout / SECOND, config.connection_idle / SECOND,
             settings.drain_grace / SECOND, self.now, self._attempt_ended, self._figures,
-            self._begun,
+            self._begun, self._wanted,
         )
         self.clients = Clients(config, self, spare - int(spare * BACKEND_PART))
         self.peers = Peers(config.peers, config.peers_all, settings.position, self.heard)
@@ -481,8 +481,9 @@
             return
         index = request.attempts
         request.attempts += 1
-        if request.closed or now >= request.valid_until:
-            self._moot(action, index, request.closed)
+        over = request.closed or self._left_unseen(request)
+        if over or now >= request.valid_until:
+            self._moot(action, index, over)
             return
         left = request.valid_until - now
         timeout = action.timeout / SECOND if 0 < action.timeout < left else None
@@ -493,6 +494,19 @@
         request.out[index] = attempt
         self.backends.start(attempt, timeout)
 
+    def _left_unseen(self, request: Request) -> bool:
+        """Whether the client has closed its connection, though the loop may not have come to read that yet:
+        asked before each attempt, as one that begins more than 0.1 s after the close is a break."""
+        client = request.slot.client
+        if not client.gone():
+            return False
+        self._loop.call_soon(client.abort)  # its requests end where all do whose client has left
+        return True
+
+    def _wanted(self, attempt: Attempt) -> bool:
+        request = self._requests.get(attempt.request)
+        return request is None or not self._left_unseen(request)
+
     def _moot(self, action: Send, index: int, finished: bool) -> None:
         event = AttemptEnded(action.request, finished, 0, action.backend, 0, Outcome.MOOT, 0, index, ())
         self._loop.call_soon(self._handle, event, action.request)
--- a/tests/test_net_left.py
+++ b/tests/test_net_left.py
@@ -5,16 +5,17 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
-from badgerspindle.interface import Action, Arrival, ClientLeft, Refuse, Send
-from badgerspindle.net import clients
+from badgerspindle.interface import Action, Arrival, AttemptEnded, ClientLeft, Outcome, Refuse, Send
+from badgerspindle.net import backends, clients
 from badgerspindle.net.gateway import Node
 
-from .fakes import Tally, call, listening, run, served, soon, until, world
-from .test_net_clients import only_backend, script
+from .fakes import Tally, World, call, listening, run, served, soon, until, world
+from .test_net_clients import Script, only_backend, script
 
 
 class HeldDoor:
@@ -138,3 +139,135 @@
             assert await stays.next() == b"two" and w.backend.commands.empty()
 
     run(test)
+
+
+class Raw:
+    """A client outside the loop: what it does is in the sockets at once, before the loop has turned."""
+
+    def __init__(self, w: World) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", w.node.clients.port))
+
+    def send(self, *numbers: int) -> None:
+        self.sock.sendall(b"".join(call(number=n) for n in numbers))
+
+    def leave(self, how: str) -> None:
+        if how == "end":
+            self.sock.shutdown(socket.SHUT_WR)
+            return
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", how == "reset", 0))
+        self.sock.close()
+
+
+Moment = Callable[[World, Script, Raw, str], Awaitable[int]]
+
+
+def hold(a: Arrival) -> list[Action]:
+    return []
+
+
+async def held(w: World, s: Script, client: Raw, how: str) -> int:
+    """A first attempt, once the counter's word has come."""
+    s.plans[:] = [hold]
+    client.send(1)
+    await until(lambda: len(s.of(Arrival)) == 1)
+    client.leave(how)
+    w.node._act(Send(s.of(Arrival)[0].request, only_backend(w), 0))
+    return 0
+
+
+async def retry(w: World, s: Script, client: Raw, how: str) -> int:
+    backend = only_backend(w)
+    s.plans[:] = [lambda a: [Send(a.request, backend, 0)]]
+    client.send(1)
+    connection, _ = await w.backend.command()
+    connection.send(b"-BUSY\r\n")
+    await until(lambda: len(s.of(AttemptEnded)) == 1)
+    client.leave(how)
+    w.node._act(Send(s.of(Arrival)[0].request, backend, 0))
+    return 1
+
+
+async def second_copy(w: World, s: Script, client: Raw, how: str) -> int:
+    backend = only_backend(w)
+    s.plans[:] = [lambda a: [Send(a.request, backend, 0)]]
+    client.send(1)
+    await w.backend.command()
+    client.leave(how)
+    w.node._act(Send(s.of(Arrival)[0].request, backend, 0))
+    return 1
+
+
+async def connecting(w: World, s: Script, client: Raw, how: str) -> int:
+    """Its connection comes up in the turn in which the client has gone."""
+    backend, door = only_backend(w), hold_door(w.node)
+    s.plans[:] = [lambda a: [Send(a.request, backend, 0)]]
+    client.send(1)
+    await soon(door.asked.wait())
+    connected = w.node.backends._pools[backend].connected
+
+    def leave_first(link: Any) -> None:
+        w.node.backends._pools[backend].connected = connected  # type: ignore[method-assign]
+        client.leave(how)
+        connected(link)
+
+    w.node.backends._pools[backend].connected = leave_first  # type: ignore[method-assign]
+    door.go.set()
+    return 0
+
+
+async def queued(w: World, s: Script, client: Raw, how: str) -> int:
+    """Behind as many commands as are worked on at once, in input that is not read: they are answered, and
+    the rest would be taken up, in the turn in which the client has gone."""
+    backend, most = only_backend(w), clients.PIPELINE
+    s.plans[:] = [hold] * most + [lambda a: [Send(a.request, backend, 0)]] * 8
+    client.send(*range(1, most + 9))
+    await until(lambda: len(s.of(Arrival)) == most and w.node.clients.held > 0)
+    client.leave(how)
+    for arrival in s.of(Arrival)[:most]:
+        w.node._act(Refuse(arrival.request, 0))
+    await until(lambda: w.node.clients.count() == 0 or len(s.of(Arrival)) > most)
+    return 0
+
+
+async def warm(w: World, s: Script) -> None:
+    """Two connections to the order server at rest, so that an attempt is written in the turn of its start."""
+    backend, others = only_backend(w), [await w.client() for _ in range(2)]
+    s.plans[:] = [lambda a: [Send(a.request, backend, 0)]] * 2
+    for number, other in enumerate(others):
+        other.send(call(number=100 + number))
+    for connection, _ in [await w.backend.command() for _ in others]:
+        connection.send(served(b"v"))
+    for other in others:
+        assert await other.next() == b"v"
+        other.abort()
+    await until(lambda: w.node.backends.idle() == 2 and w.node.clients.count() == 0)
+    await asyncio.sleep(2 * backends.SETTLE)
+    s.events.clear()
+
+
+@pytest.mark.parametrize("how", ["reset", "close", "end"])
+@pytest.mark.parametrize("moment", [held, retry, second_copy, connecting, queued])
+def test_no_attempt_begins_for_a_client_that_has_closed_though_the_loop_has_not_read_that(
+    moment: Moment, how: str
+) -> None:
+    async def test() -> None:
+        async with world() as w:
+            s, backend = script(w), only_backend(w)
+            w.node.time_is_up = lambda number: None  # type: ignore[method-assign]  # leaving alone ends them
+            if moment is not connecting:
+                await warm(w, s)
+            client = Raw(w)
+            tries = await moment(w, s, client, how)
+            # Where its answer was written before its end could be read, a rest may have been taken up.
+            await until(lambda: w.node.clients.count() == 0)
+            assert all(e.outcome is Outcome.MOOT for e in s.of(AttemptEnded) if e.attempt >= tries)
+            s.plans.append(lambda a: [Send(a.request, backend, 0)])
+            other = await w.client()
+            other.send(call(number=99))
+            connection, words = await w.backend.command()
+            assert words[2] == b"%016x" % 99
+            connection.send(served(b"v"))
+            assert await other.next() == b"v" and w.backend.commands.empty()
+            client.sock.close()
+
+    run(test)
