Accept only what can be kept, so that idle clients that come again keep nobody out

Cause: the loop's own server accepted whatever stood in the queue and Clients.came closed another connection, or the new one, for each. Measured with 400 clients, 256 descriptors (RLIMIT_NOFILE) and discovery down for 4 s: clients that come again at once, or say nothing, were accepted and closed 15,000 to 21,000 times a second (0.28 to 0.36 of a core), and a client that meant it got no answer in 15 s (153 and 287 tries); half commands: 13.5 s, 208 tries. Ruled out: discovery itself, called 0.1 to 0.4 s after its return in all four cases; descriptors, 112 at most in use; clients that rest once (1 ms). Change: net/listener.py accepts only where there is room: a connection that never spoke or rests is closed for another after 0.1 s, one in the middle of a command after 0.25 s, resting ones first; until then newcomers wait in the queue and the reader is taken off for 0.02 s, as it is when accept fails, so that nothing spins. Without any room for 0.25 s what waits is shut unread, as before. Descriptors of discovery, counter and order servers are thus never a client's. Tests: test_net_descriptors.py, real processes and limits; three of the four crowds failed before. busy_requests in test_net_clients.py counted every event of the module; it counts arrivals now, as the test lasts over a tick.

--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -7,7 +7,6 @@
 import logging
 import re
 import select
-import socket
 import struct
 import termios
 from collections import deque
@@ -19,6 +18,7 @@
 from ..interface import Repeat
 from .backends import Flow
 from .config import Config
+from .listener import Listener, bound_socket, passed_socket
 from .logs import Sparing
 from .resp import CommandFrames, FrameError
 
@@ -40,6 +40,8 @@
 IDLE = 25.0  # s at rest after a command: under the usual half minute, and calm clients come sooner
 IDLE_CROWDED = 2.0  # s at rest that every connection is granted where few are left
 CROWDED = 0.75  # part of the bound on connections from which they count as few
+REST_LEAST = 0.1  # s at rest, or without a first word, before a connection makes room for another ...
+HALF_LEAST = 0.25  # ... and the same in the middle of a command, where nobody rests
 LINGER = 0.75  # s that what a client still sends is read on and dropped, once all is answered
 LINGER_MOST = 1 << 20  # bytes of it; more is left unread
 BUFFER_LEAST = 96 << 10  # bytes, for each connection, of what a client has not taken: over a whole value
@@ -307,6 +309,10 @@
                 (transport.resume_reading if read_on else transport.pause_reading)()
                 self._owner.heed(self, not read_on)
 
+    def midway_for(self, now: float) -> float:
+        """Seconds since the first byte of a command whose last has not come; 0 where something is owed."""
+        return now - self._half if self._half and not (self.slots or self._ending) else 0.0
+
     def closing(self) -> bool:
         return cast(asyncio.Transport, self._transport).is_closing()
 
@@ -505,20 +511,6 @@
     return text.encode().replace(b"\r", b" ").replace(b"\n", b" ")
 
 
-def passed_socket(descriptor: int) -> socket.socket | None:
-    """The listening socket that the platform holds; None where the descriptor is no such thing."""
-    try:
-        sock = socket.socket(fileno=descriptor)
-        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-            sock.setblocking(False)
-            return sock
-        sock.detach()
-        log.error("descriptor %d is no listening socket: binding one of our own", descriptor)
-    except OSError as error:
-        log.error("descriptor %d is no socket (%s): binding one of our own", descriptor, error)
-    return None
-
-
 class Clients:
     """The listening socket and the connections that came through it."""
 
@@ -536,7 +528,7 @@
         self._clients: dict[Client, None] = {}  # those that have sent a whole command
         self._fresh: dict[Client, None] = {}  # those that have not
         self._unread: set[Client] = set()  # whose input is not read just now
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._looker: asyncio.TimerHandle | None = None
         self._heeder: asyncio.TimerHandle | None = None
         self._last_came = 0.0
@@ -545,12 +537,11 @@
         self._longest = max(c.deadline for c in config.settings.classes) / SECOND + QUIET
 
     async def start(self) -> None:
-        loop = asyncio.get_running_loop()
-        if self._passed is not None and (sock := passed_socket(self._passed)) is not None:
-            self._server = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
-        else:
-            self._passed = None
-            self._server = await loop.create_server(lambda: Client(self), *self._address, backlog=1024)
+        """Open the door; raises OSError where the address is taken."""
+        sock = None if self._passed is None else passed_socket(self._passed)
+        if sock is None:
+            self._passed, sock = None, bound_socket(self._address)
+        self._listener = Listener(sock, lambda: Client(self), self._room)
         self._looker = self._later(LOOK, self._look)
 
     def share(self, bound: int | None, part: float) -> None:
@@ -566,23 +557,30 @@
 
     @property
     def port(self) -> int:
-        return int(cast(asyncio.Server, self._server).sockets[0].getsockname()[1])
+        return cast(Listener, self._listener).port
 
     def came(self, client: Client) -> None:
         self._last_came = self.time()
-        if self.count() >= self.bound:
-            # Descriptors are few: whoever never said anything, or else rests longest, makes room, as a
-            # gateway may close between requests. Where nobody rests the new one can't be kept.
-            for other in chain(self._fresh, self._clients):
-                if other.resting():
-                    other.close()
-                    self.went(other)
-                    break
-            else:
-                client.close()
-                return
         self._fresh[client] = None
 
+    def _room(self) -> bool:
+        """Whether one more connection can be kept. Descriptors are few: whoever never said anything, or else
+        rests longest, makes room, as a gateway may close between requests; then who is in the middle of a
+        command for long. None of them at once, or clients that come again and again would leave nobody the
+        time for a word."""
+        if self.count() + cast(Listener, self._listener).coming < self.bound:
+            return True
+        now = self.time()
+        oldest = [*self._fresh, *self._clients]
+        resting = (c for c in oldest if now - c.seen >= REST_LEAST and c.resting())
+        midway = (c for c in oldest if c.midway_for(now) >= HALF_LEAST)
+        other = next(chain(resting, midway), None)
+        if other is None:
+            return False
+        other.close()
+        self.went(other)
+        return True
+
     def began(self) -> int:
         """One more large value is on its way; bytes of it that its client may leave untaken."""
         self.relays += 1
@@ -618,7 +616,7 @@
 
     def taking(self) -> bool:
         """Whether clients that connect are taken in."""
-        return self._server is not None and not self._stopping and not self.closing
+        return self._listener is not None and not self._stopping and not self.closing
 
     async def drain(self) -> None:
         """Take what comes until new connections cease, answer all of it, close what rests. Where the
@@ -641,23 +639,22 @@
         self.shut()
 
     def taking_in(self) -> bool:
-        return self._server is not None
+        return self._listener is not None
 
     def _close_door(self, own: bool) -> None:
         """Not while somebody stands before it: who is in the accept queue would be reset, unread."""
-        server = cast(asyncio.Server, self._server)
-        look = select.poll()
-        look.register(server.sockets[0].fileno(), select.POLLIN)
-        if not (own and look.poll(0)):
-            server.close()
-            self._server = None
+        listener = cast(Listener, self._listener)
+        if not (own and listener.waiting()):
+            listener.close()
+            self._listener = None
 
     def shut(self) -> None:
         """Close everything as it stands."""
         for timer in (self._looker, self._heeder):
             if timer is not None:
                 timer.cancel()
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
         for client in [*self._fresh, *self._clients]:
             client.abort()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -479,7 +479,7 @@
 
 
 def busy_requests(w: World) -> int:
-    return len(w.node.module.events)  # type: ignore[attr-defined]
+    return len(w.node.module.of(Arrival))  # type: ignore[attr-defined]
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_net_descriptors.py
@@ -0,0 +1,215 @@
+"""Idle clients may fill the descriptors: who means it is served all the same, by all that serves it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import resource
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from badgerspindle.net import listener
+from badgerspindle.net.listener import Listener
+
+from .fakes import (
+    LOCAL, Agent, Backend, Connection, Tally, call, host, listening, listing, raw_config, run, served, soon,
+    until,
+)
+from .test_net_process import COMMAND
+
+DESCRIPTORS = 256
+PING = b"*1\r\n$4\r\nPING\r\n"
+HALF = b"*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000"
+
+
+@asynccontextmanager
+async def limited(folder: Path, raw: dict[str, Any], descriptors: int) -> AsyncIterator[int]:
+    """A gateway's process with a real limit on its descriptors; its port."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw))
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, stderr=asyncio.subprocess.PIPE, env={**os.environ, "ROUTER_CONFIG": str(path)},
+        preexec_fn=limit,
+    )
+    assert process.stderr is not None
+    while b"listening on" not in (line := await soon(process.stderr.readline())):
+        assert line, "ended before it listened"
+
+    async def read_on() -> None:
+        while await process.stderr.readline():  # type: ignore[union-attr]
+            pass
+
+    reading = asyncio.create_task(read_on())
+    try:
+        yield int(line.rsplit(b":", 1)[1])
+        assert process.returncode is None
+        process.terminate()
+        assert await soon(process.wait()) == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        reading.cancel()
+
+
+async def idle(port: int, word: bytes, again: bool) -> None:
+    """A client that says this much and then waits until it is closed; comes again at once, or rests."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(word)
+            while await reader.read(1024):
+                pass
+            writer.close()
+        except OSError:
+            pass
+        if not again:
+            return
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ("word", "again"), [(PING, False), (PING, True), (b"", True), (HALF, True)],
+    ids=["rest", "come again", "say nothing", "half a command"],
+)
+def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out(
+    word: bytes, again: bool, tmp_path: Path
+) -> None:
+    """At the return discovery, counter and a new order server are reached, and a client that comes then is
+    served on its first connection."""
+
+    async def test() -> None:
+        agent, old, new = Agent(), Backend(), Backend()
+        async with listening(old), listening(new):
+            discovery = await asyncio.start_server(agent.serve, LOCAL, 0)
+            agent.port = discovery.sockets[0].getsockname()[1]
+            agent.first = listing(1, host("s-1", old.port))
+            with socket.socket() as free:
+                free.bind((LOCAL, 0))
+                counter = free.getsockname()[1]
+            raw = raw_config(agent.port, familyInfo__counter=True, familyInfo__counterTimeout=50_000_000,
+                             limits__peerMessages=False)
+            raw |= {"limits": {"sockets": DESCRIPTORS}, "counter": f"{LOCAL}:{counter}"}
+            async with limited(tmp_path, raw, DESCRIPTORS) as port:
+                discovery.close()
+                agent.hang_up()
+                crowd = [asyncio.create_task(idle(port, word, again)) for _ in range(400)]
+                await asyncio.sleep(0.5)
+                while not agent.asked.empty():
+                    agent.asked.get_nowait()
+                agent.first, tally = listing(2, host("s-2", new.port)), Tally(counter)
+                async with listening(agent), listening(tally):
+                    await soon(agent.asked.get())
+                    await until(lambda: len(tally.connections) > 0)
+                    late = Connection(*await soon(asyncio.open_connection(LOCAL, port)))
+                    late.send(call(wait_ms=20_000))
+                    connection, _ = await new.command()
+                    connection.send(served(b"v"))
+                    assert await late.next() == b"v"
+                for task in crowd:
+                    task.cancel()
+
+    run(test)
+
+
+def test_process_at_its_limit_of_descriptors_lives_on_and_serves_again(tmp_path: Path) -> None:
+    """The limit is lower than the configuration says: to accept fails."""
+
+    async def test() -> None:
+        agent, backend = Agent(), Backend()
+        async with listening(agent), listening(backend):
+            agent.first = listing(1, host("s-1", backend.port))
+            async with limited(tmp_path, raw_config(agent.port), 40) as port:
+                crowd = [Connection(*await soon(asyncio.open_connection(LOCAL, port))) for _ in range(60)]
+                await asyncio.sleep(0.3)
+                for each in crowd:
+                    each.abort()
+                client = Connection(*await soon(asyncio.open_connection(LOCAL, port)))
+                client.send(call(wait_ms=20_000))
+                connection, _ = await backend.command()
+                connection.send(served(b"v"))
+                assert await client.next() == b"v"
+
+    run(test)
+
+
+class Short(socket.socket):
+    """A listening socket whose system has no descriptor left for so many tries."""
+
+    short, tries = 0, 0
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        self.tries += 1
+        if self.tries <= self.short:
+            raise OSError(errno.EMFILE, "Too many open files")
+        return super().accept()
+
+
+class Kept(asyncio.Protocol):
+    def __init__(self, made: list[Kept]) -> None:
+        self.made = made
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.made.append(self)
+        self.transport = transport
+
+
+@pytest.mark.parametrize("room", [True, False])
+def test_accept_without_room_or_descriptors_pauses_and_goes_on(
+    room: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(listener, "PAUSE", 0.05)
+
+    async def test() -> None:
+        made, looks, free = list[Kept](), 0, room
+
+        def has_room() -> bool:
+            nonlocal looks
+            looks += 1
+            return free
+
+        with Short() as sock:
+            sock.bind((LOCAL, 0))
+            sock.short = 3 * room
+            door = Listener(sock, lambda: Kept(made), has_room)
+            waits = [await soon(asyncio.open_connection(LOCAL, door.port)) for _ in range(3)]
+            turns = 0
+            while looks < 3:
+                turns += 1
+                await asyncio.sleep(0)
+            assert not made and turns > 20  # the loop went round many times meanwhile, the door three times
+            free = True
+            await until(lambda: len(made) == 3 and door.coming == 0)
+            door.close()
+            for _, writer in waits:
+                writer.close()
+            for each in made:
+                each.transport.close()
+
+    run(test)
+
+
+def test_what_waits_without_room_for_long_is_shut_unread(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Time of the requests that lie there runs; their clients can turn elsewhere."""
+    monkeypatch.setattr(listener, "QUEUE_MOST", 0.03)
+
+    async def test() -> None:
+        with socket.create_server((LOCAL, 0)) as sock:
+            door = Listener(sock, lambda: Kept([]), lambda: False)
+            reader, writer = await soon(asyncio.open_connection(LOCAL, door.port))
+            assert await soon(reader.read()) == b""
+            door.close()
+            writer.close()
+
+    run(test)
