--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -678,7 +678,7 @@
 def test_id_of_an_open_request_is_not_taken_again() -> None:
     async def test() -> None:
         async with world() as w:
-            script(w, *[lambda a: []] * 3)
+            s = script(w, *[lambda a: []] * 3)
             client, other = await w.client(), await w.client()
             client.send(call(number=5))
             await until(lambda: busy_requests(w) == 1)
@@ -686,7 +686,7 @@
             assert "open" in str(await other.next())
             assert busy_requests(w) == 1
             client.abort()
-            await until(lambda: busy_requests(w) == 2)  # told that the client has left
+            await until(lambda: len(s.of(ClientLeft)) == 1)
             other.send(call(number=5, wait_ms=60))
             assert str(await other.next()) == "ERR out of time"
             other.send(call(number=5, wait_ms=60))
