--- a/tests/scale/counter.py
+++ b/tests/scale/counter.py
@@ -67,6 +67,8 @@
     return Spell(Fault.SILENT, start, end, gateways // 2, gateways)
 
 
+ANY = -1  # whichever process runs there
+Due = tuple[int, int, int, int, Event]  # when (ns), order, gateway, its process, what
 Make = Callable[[Settings, int, int], Gateway]  # settings, seed, now (ns)
 
 
@@ -209,8 +211,12 @@
     gateways: int, n_tenants: int, requests_per_s: float, capacity: float | None = None,
     meter: bool = False, seconds: float = 8.0, after: float = 3.0, seed: int = 1,
     spells: Sequence[Spell] = (), make: Make = Gateway, spread: int = SPREAD, plans: Sequence[Plan] = PLANS,
+    restarts: Sequence[tuple[float, int]] = (),
 ) -> Result:
-    """Counts from `after` to `seconds` (both s of the virtual clock); `capacity` in calls a second."""
+    """Counts from `after` to `seconds` (both s of the virtual clock); `capacity` in calls a second.
+
+    `restarts`: when (s) which gateways start anew at once, with nothing but the list; what was out is lost.
+    """
     rng, spread = random.Random(seed), min(spread, gateways)
     base = settings(
         gateways=gateways, may_message=False, counter=True, plans=tuple(plans),
@@ -221,13 +227,15 @@
     weights = [[0.2 + rng.expovariate(1.0) for _ in range(spread)] for _ in clients]
     judges = [Judge(plans[client.plan]) for client in clients]
     counter, result = Counter(capacity, spells), Result(gateways, seconds - after, tuple(plans))
-    events, order = list[tuple[int, int, int, Event]](), count()
+    events, order = list[Due](), count()
     asked: dict[int, int] = {}  # tenant of each request
     attempts: dict[int, int] = defaultdict(int)
     listed = full_list(*map(backend, range(1, 2 * gateways + 1)), kind=ListKind.CACHED)
     for i in range(gateways):
         # The beats of real gateways do not fall together.
-        heappush(events, (rng.randrange(BEAT), next(order), i, listed))
+        heappush(events, (rng.randrange(BEAT), next(order), i, 0, listed))
+    # By gateway: what has come of its process before says nothing to the one after it.
+    born, waves = [0] * gateways, sorted(restarts, reverse=True)
     numbers, cumulated, total = count(1), list[float](), 0.0
     for client in clients:
         cumulated.append(total := total + client.demand)
@@ -243,7 +251,7 @@
         cls = rng.choices(classes, CLASS_SHARES)[0]
         asked[number] = who.number
         made = arrival(number, now, cls, who.number + 1, plan=who.plan, spread=spread, first=who.first)
-        heappush(events, (now, next(order), position, made))
+        heappush(events, (now, next(order), position, ANY, made))
 
     def used(now: int, judge: Judge, each: Plan) -> int:
         last = (now - METER_LATE) // METER - 1
@@ -253,8 +261,18 @@
 
     next_arrival()
     while events and (now := events[0][0]) < ends:
-        _, _, position, event = heappop(events)
-        counts = now >= measured
+        while waves and waves[-1][0] * SECOND <= now:
+            when, started = int(waves[-1][0] * SECOND), waves.pop()[1]
+            born[started] += 1
+            fresh = started + 7 + gateways * born[started]
+            fleet[started] = make(replace(base, position=started), fresh, when)
+            heappush(events, (when, next(order), started, born[started], listed))
+        _, _, position, process, event = heappop(events)
+        if process not in (born[position], ANY):
+            if isinstance(event, AttemptEnded):
+                judges[asked[event.request]].open -= 1
+            continue
+        process, counts = born[position], now >= measured
         if isinstance(event, AttemptEnded):
             who = clients[asked[event.request]]
             judges[who.number].open -= 1
@@ -283,11 +301,11 @@
                     judge.open += 1
                     span = int(WORK * rng.uniform(0.6, 1.4))
                     over = AttemptEnded(request, True, 0, server, 0, Outcome.OK, span, attempt, ())
-                    heappush(events, (now + span, next(order), position, over))
+                    heappush(events, (now + span, next(order), position, process, over))
                 case Cancel():
                     raise AssertionError("no attempt of these lasts so long that it is called off")
                 case SetTimer(after_ns, token):
-                    heappush(events, (now + after_ns, next(order), position, TimerFired(token)))
+                    heappush(events, (now + after_ns, next(order), position, process, TimerFired(token)))
                 case AddToCounter():
                     word = counter.call(now, position, action)
                     if counts:
@@ -295,7 +313,7 @@
                         result.answered += word.outcome is Outcome.OK
                         result.turned_away += word.outcome is Outcome.FULL
                         result.unanswered += word.outcome not in (Outcome.OK, Outcome.FULL)
-                    heappush(events, (now + word.elapsed, next(order), position, word))
+                    heappush(events, (now + word.elapsed, next(order), position, process, word))
     return result
 
 
