--- /dev/null
+++ b/tests/scale/__main__.py
@@ -0,0 +1,18 @@
+"""All measures of scale in turn; tables on stdout, progress on stderr. About five minutes."""
+
+from __future__ import annotations
+
+from . import added, counter, customers, instances, lists, waves
+from .common import progress
+
+
+def main() -> None:
+    for module in (counter, lists, instances, customers, waves, added):
+        progress(f"-- {module.__name__}")
+        module.main()
+        if module is counter:
+            counter.faults()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/scale/counter.py
+++ b/tests/scale/counter.py
@@ -367,5 +367,28 @@
     table("Calls to the quota counter (virtual clock, 8 s, counted from the 3rd on)", COLUMNS, rows)
 
 
+def fault_rows(size: tuple[int, int, float]) -> list[list[object]]:
+    """With a counter that takes all calls, each fault from 4 to 6 s, counted from 4 s on to 8 s."""
+    gateways, n, requests_per_s = size
+    spells: list[tuple[str, list[Spell]]] = [("none", [])]
+    spells += [(f"{f.name.lower()}: {f.value}", [Spell(f, 4.0, 6.0)]) for f in Fault]
+    spells.append(("half of the gateways cut off", [cut_off(gateways, 4.0, 6.0)]))
+    rows: list[list[object]] = []
+    for label, script in spells:
+        progress(f"counter: {label}")
+        r = simulate(gateways, n, requests_per_s, None, after=4.0, spells=script)
+        rows.append([label, gateways, r.rate(r.calls), r.rate(r.answered), r.rate(r.unanswered), r.granted,
+                     r.price, r.rate(r.over_ceiling)])
+    return rows
+
+
+def faults(size: tuple[int, int, float] = SIZES[2]) -> None:
+    table("Faults of an unlimited counter from the 4th to the 6th second, counted from the 4th to the 8th", (
+        "fault", "gateways", "calls/s", "answered/s", "unanswered/s", "granted (part)",
+        "over-quota price (part)", "over ceiling/s",
+    ), fault_rows(size))
+
+
 if __name__ == "__main__":
     main()
+    faults()
