--- a/badgerspindle/__main__.py
+++ b/badgerspindle/__main__.py
@@ -8,9 +8,11 @@
 import os
 import signal
 import sys
+import time
 
 import uvloop
 
+from . import BEGUN
 from .net.config import Config, ConfigError, load, reload
 from .net.gateway import Node
 
@@ -18,12 +20,15 @@
 log = logging.getLogger("badgerspindle")
 
 
-async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then end in good order; SIGHUP has the configuration read again."""
+async def serve(config: Config, imported: float) -> None:
+    """Run until SIGTERM or SIGINT, then end in good order; SIGHUP has the configuration read again.
+
+    `imported`: when the program had been read (s of the monotonic clock)."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    learning = time.monotonic()
     node = Node(config)
 
     def reread() -> None:
@@ -39,6 +44,9 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANGUP)
     try:
         await node.start()
+        log.info("started in %.2f s: program %.2f, settings %.2f, list and listening %.2f; order servers %s",
+                 time.monotonic() - BEGUN, imported - BEGUN, learning - imported, time.monotonic() - learning,
+                 "known" if node.ready() else "not known yet")
     except OSError as error:
         # An address that is taken, or not this machine's, is as much a wrong setting as one left out.
         raise ConfigError(f"cannot listen: {error}") from None
@@ -52,10 +60,11 @@
 
 
 def main() -> int:
+    imported = time.monotonic()
     signal.pthread_sigmask(signal.SIG_BLOCK, HANGUP)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
-        uvloop.run(serve(load(os.environ)))
+        uvloop.run(serve(load(os.environ), imported))
     except ConfigError as error:
         print(f"badgerspindle: {error}", file=sys.stderr)
         return 2
