--- a/badgerspindle/net/backends.py
+++ b/badgerspindle/net/backends.py
@@ -17,11 +17,11 @@
 from ..interface import Outcome
 from .config import Address
 from .figures import Figures
-from .logs import Sparing
+from .logs import RateLimitFilter
 from .resp import AnswerFrames, FrameError
 
 log = logging.getLogger(__name__)
-log.addFilter(Sparing())
+log.addFilter(RateLimitFilter())
 
 STALL = 0.25  # s without a further byte of an answer that has begun; far over a slow writer's gaps
 STALL_LARGE = 5.0  # the same of a large value: the client has its first bytes, and no second attempt follows
--- a/badgerspindle/net/clients.py
+++ b/badgerspindle/net/clients.py
@@ -19,11 +19,11 @@
 from .backends import Flow
 from .config import Config
 from .listener import Listener, bound_socket, passed_socket
-from .logs import Sparing
+from .logs import RateLimitFilter
 from .resp import CommandFrames, FrameError
 
 log = logging.getLogger(__name__)
-log.addFilter(Sparing())
+log.addFilter(RateLimitFilter())
 
 PAIRS_MOST = 1024  # bytes of a command's names and values
 PIPELINE = 32  # commands of one connection without an answer; what comes behind them waits unread
--- a/badgerspindle/net/counter.py
+++ b/badgerspindle/net/counter.py
@@ -12,10 +12,10 @@
 
 from ..interface import Counted, Outcome
 from .config import Address
-from .logs import Sparing
+from .logs import RateLimitFilter
 
 log = logging.getLogger(__name__)
-log.addFilter(Sparing())
+log.addFilter(RateLimitFilter())
 
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 0.5  # s between attempts to connect; doubles, and a connection resets it
 LINES = 4  # connections: one whose answer never comes holds up none but its own calls
--- a/badgerspindle/net/listener.py
+++ b/badgerspindle/net/listener.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 
 from .config import Address
-from .logs import Sparing
+from .logs import RateLimitFilter
 
 log = logging.getLogger(__name__)
-log.addFilter(Sparing())
+log.addFilter(RateLimitFilter())
 
 BACKLOG = 1024  # connections that the system keeps waiting
 BATCH = 16  # connections taken in one turn: those that made room for them are closed only after it
--- a/badgerspindle/net/logs.py
+++ b/badgerspindle/net/logs.py
@@ -9,7 +9,7 @@
 SPAN = 10.0  # s
 
 
-class Sparing(logging.Filter):
+class RateLimitFilter(logging.Filter):
     """Lets the first lines of each span through: bad clients and spoilt answers must not buy CPU with them.
 
     What was left out is counted on the first line that goes through again.
--- a/badgerspindle/net/operators.py
+++ b/badgerspindle/net/operators.py
@@ -11,10 +11,10 @@
 import h11
 
 from .config import Address
-from .logs import Sparing
+from .logs import RateLimitFilter
 
 log = logging.getLogger(__name__)
-log.addFilter(Sparing())
+log.addFilter(RateLimitFilter())
 
 HEAD_MOST = 8 << 10  # bytes of a call's head: a browser's are smaller
 BODY_MOST = 256  # bytes of a body: one id
--- a/tests/test_net_logs.py
+++ b/tests/test_net_logs.py
@@ -8,7 +8,7 @@
 
 from badgerspindle.net.backends import log as backends_log
 from badgerspindle.net.clients import log as clients_log
-from badgerspindle.net.logs import LINES_MOST, SPAN, Sparing
+from badgerspindle.net.logs import LINES_MOST, SPAN, RateLimitFilter
 
 
 def test_a_flood_of_lines_is_cut_and_counted(
@@ -17,7 +17,7 @@
     clock = [1000.0]
     monkeypatch.setattr("badgerspindle.net.logs.time.monotonic", lambda: clock[0])
     log = logging.getLogger("test.flood")
-    log.addFilter(Sparing())
+    log.addFilter(RateLimitFilter())
     for number in range(500):
         log.warning("spoilt %d", number)
     assert len(caplog.messages) == LINES_MOST
@@ -28,4 +28,4 @@
 
 def test_logs_of_clients_and_backends_are_bounded() -> None:
     for log in (backends_log, clients_log):
-        assert any(isinstance(one, Sparing) for one in log.filters)
+        assert any(isinstance(one, RateLimitFilter) for one in log.filters)
