Measure what a request waits for with quotas leased, beside each one counted

tests/scale/added.py has a fourth case, and runs it and the one before alone by 'added leases'; python -m tests.scale runs the leases' table too.

--- a/tests/scale/__main__.py
+++ b/tests/scale/__main__.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from . import added, counter, customers, instances, lists, waves
+from . import added, counter, customers, instances, leases, lists, waves
 from .common import progress
 
 
 def main() -> None:
-    for module in (counter, lists, instances, customers, waves, added):
+    for module in (counter, leases, lists, instances, customers, waves, added):
         progress(f"-- {module.__name__}")
         module.main()
         if module is counter:
--- a/tests/scale/added.py
+++ b/tests/scale/added.py
@@ -117,7 +117,7 @@
         await process.wait()
 
 
-def configuration(ports: dict[str, int], counter: bool) -> dict[str, Any]:
+def configuration(ports: dict[str, int], counter: bool, lease: int) -> dict[str, Any]:
     changes = {
         "zones": list(ZONES), "kinds": list(KINDS), "replicasOfMe": DESIGN.gateways,
         "limits__peerMessages": False,
@@ -130,7 +130,7 @@
         "name": "n0", "listen": f"{LOCAL}:0", "discovery": f"{LOCAL}:{ports['agent']}",
         "seed": "8c1f30d27a5be964",
         "limits": {"sockets": 4096, "memory_mb": 128}, "peers": [], "settings": made,
-        "counter": f"{LOCAL}:{ports['counter']}" if counter else None,
+        "counter": f"{LOCAL}:{ports['counter']}" if counter else None, "quota_lease_s": lease,
     }
 
 
@@ -155,10 +155,10 @@
 
 
 @asynccontextmanager
-async def gateway(ports: dict[str, int], counter: bool) -> AsyncIterator[Running]:
+async def gateway(ports: dict[str, int], counter: bool, lease: int = 0) -> AsyncIterator[Running]:
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
-        path.write_text(json.dumps(configuration(ports, counter)))
+        path.write_text(json.dumps(configuration(ports, counter, lease)))
         began = time.perf_counter()
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "badgerspindle", stderr=asyncio.subprocess.PIPE,
@@ -187,23 +187,25 @@
     label: str
     order_servers: int
     counter: bool
+    lease: int = 0  # s of a term
 
 
 CASES = (
     Case("12 listed", 12, False), Case("7,100 listed", DESIGN.order_servers, False),
     Case("7,100 listed, counter", DESIGN.order_servers, True),
+    Case("7,100 listed, leases of 50 s", DESIGN.order_servers, True, 50),
 )
 
 
-async def added(seconds: float) -> None:
+async def added(seconds: float, cases: Sequence[Case] = CASES) -> None:
     rows: list[list[object]] = []
-    for case in CASES:
+    for case in cases:
         async with standing_in(case.order_servers) as ports:
             # Without a counter each tenant comes through this gateway alone, which keeps its store.
             spread = 10 if case.counter else 1
             progress(f"added: {case.label}: straight, then through a gateway, {seconds:g} s each")
             straight = await offer(ports["order_server"], seconds, spread)
-            async with gateway(ports, case.counter) as running:
+            async with gateway(ports, case.counter, case.lease) as running:
                 first = await offer(running.port, 3.0, spread, 2)  # its connections come up
                 before = running.cpu()
                 through = await offer(running.port, seconds, spread)
@@ -241,7 +243,7 @@
 
 def main(words: Sequence[str] = ()) -> None:
     if "ready" not in words:
-        uvloop.run(added(SECONDS))
+        uvloop.run(added(SECONDS, CASES[-2:] if "leases" in words else CASES))
     uvloop.run(readiness())
 
 
