Let a customer's store go on over the change of the counter's names, not begin full

Cause: names change each minute (Quota.call), and a new number of 0 was taken for a full store (surplus in Quota.counted): each customer got its burst anew. Change: who was told of the store within ten seconds takes what it lacked as lacking under the new name too.

--- a/badgerspindle/quota.py
+++ b/badgerspindle/quota.py
@@ -218,7 +218,7 @@
         return True
 
     def answered(self, now: int, account: Account, level: float, granted: bool) -> None:
-        account.level, account.told_at = level, now
+        account.level, account.told, account.told_at = level, level, now
         account.granted.add(now, float(granted))
         self.granted[account.index].add(now, float(granted))
 
@@ -289,8 +289,13 @@
         plan, place, before = account.plan, self.place(account), event.total - amount - untold
         out = (before + OPEN / 2) // OPEN if place else 0.0
         surplus = plan.rate * ((now - event.elapsed) % COUNTER_LIFE) / SECOND - (before - out * OPEN)
-        level, units = min(plan.burst, plan.burst + surplus) - untold, max(0.0, amount - place)
         self.refill(now, account)
+        if account.name != event.name:
+            # A name begins with a full store; the customer's goes on as it was, where that was told of late.
+            known = account.told if now - account.told_at < LONG else plan.burst
+            account.name, account.missing = event.name, plan.burst - min(plan.burst, max(0.0, known))
+        surplus -= account.missing
+        level, units = min(plan.burst, plan.burst + surplus) - untold, max(0.0, amount - place)
         if fix or amount < 0:
             return 0, None, [self.call(now, account, -amount)] if fix and surplus < amount / 2 else []
         room = not plan.rate or level >= min(units, plan.burst / 2)
--- a/badgerspindle/state.py
+++ b/badgerspindle/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import exp
+from math import exp, inf
 
 from .interface import Arrival, Backend, Plan
 
@@ -92,6 +92,9 @@
     tells: int = 0
     heard: dict[int, int] = field(default_factory=dict)
     others: int = 0  # open attempts elsewhere, as told
+    told: float = inf  # what home or counter told last
+    name: int = 0  # of the counter's number that last told of the store ...
+    missing: float = 0.0  # ... and what the store lacked of a full one when that began
     owed: float = 0.0  # to be added to the counter with the next call
     doubtful: float = 0.0  # what put the counter's number right, with no answer on whether another did so too
     untold: float = 0.0  # units spent from the even slice that the counter has not heard of
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -119,6 +119,13 @@
     assert 0.85 * 220 <= len(front.sent) <= 1.1 * 220
 
 
+def test_store_of_a_busy_customer_is_not_full_anew_where_the_counters_names_change() -> None:
+    """Each name lives for a minute, and a store that is empty stays so over the change."""
+    front = Front(may_message=False, counter=True, gateways=20)
+    front.flood(8.0, 100, start=56 * SECOND)
+    assert 0.85 * 100 <= len(front.sent) <= 1.1 * 100
+
+
 def test_counter_that_was_idle_is_put_right_and_gives_no_more_than_a_burst() -> None:
     front = Front(may_message=False, counter=True)
     front.flood(0.05, 20, start=5 * SECOND)
