Bound cold order servers' budgets by what warm ones answer, not by what they are sent

Now answers of warm backends are counted, divided by the mean over the same time of the warm ones for each gateway that holds as many: no warm one answers more than its capacity, so the parts of all gateways together stay inside 1.4 times the cold one's. Backends that are silent but still listed count as warm, which gives less.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect
 from collections.abc import Callable, Iterable
 from math import ceil, log
 
@@ -15,7 +16,7 @@
 
 COLD_FIRST = 0.7  # expected wait at a cold backend whose budget allows a request, against a warm one's
 DOUBTED = 3.0  # added cost of a backend that lately turned the like away or left it unanswered
-COLD_MORE = 1.4  # times its part of what a warm one gets that a cold backend may be sent ...
+COLD_MORE = 1.4  # times its part of what a warm one answers that a cold backend may be sent ...
 COLD_PART = 0.7  # ... and at most this part of the multiple of its capacity from which it falls over
 HOLDERS = 10  # gateways that hold a backend: each hears of it often, and it has few connections to keep
 TOKENS_SPAN = 1.0  # s of a cold backend's budget that may be saved up while nothing was to go there
@@ -50,16 +51,20 @@
     """The list of backends, their health from symptoms, cold budgets, and the choice among them."""
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
-        self.s, self.rng, self.sends = settings, rng, Mean(MEMORY)
+        self.s, self.rng = settings, rng
+        self.sends = Mean(MEMORY)  # those that warm backends answered: under overload far fewer than went out
+        self.warm = Mean(MEMORY)  # warm backends for each gateway that holds as many, over the same time ...
+        self.warm.at = -SECOND  # ... and as many as the first list tells of from then on
         self.servers: dict[int, Server] = {}
         self.banned: dict[int, int] = {}  # by operators, since when; outlasts whatever the list says
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.kept = 1.0  # part of the cold backends' budgets that is this process's
-        self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
+        self.usual, self.newest = 0.0, 0  # mean out at each, newest answered
         self.heard: dict[int, int] = {}  # by zone, when its last answer came ...
         self.cut: dict[int, int] = {}  # ... and when it was last found silent
         self.others = 0.0  # mean out at each by the other gateways that hold it
+        self.warm_at: list[int] = []  # when usable ones are warm that started not a long time ago
         self.ring: list[int] = []  # usable backends in an order that is the same at every gateway
 
     def learn(self, now: int, event: Topology) -> None:
@@ -99,6 +104,8 @@
 
     def _order(self) -> None:
         self.ring = sorted(i for i, s in self.servers.items() if s.usable and i not in self.banned)
+        booted = (max(self.servers[i].entry.booted, self.servers[i].cold_from) for i in self.ring)
+        self.warm_at = sorted(at + self.s.warm_up for at in booted if at)
 
     def skipped(self, now: int) -> int:
         """Listed backends that get nothing now, by an operator's word or for their symptoms."""
@@ -110,7 +117,11 @@
         for gone in [i for i, s in self.servers.items() if not s.listed and not s.out]:
             del self.servers[gone]
         held = self.held(now)
-        self.warm = sum(self.warmth(now, s) >= 1.0 for s in held)
+        # Of the warm ones of all gateways: those held here may all be cold, and their answers come from the
+        # others'. Weighed by time, or many lists at once would tell of fewer warm ones than had answered.
+        if n := len(self.ring):
+            warm = max(1, n - len(self.warm_at) + bisect(self.warm_at, now)) * len(held) / n
+            self.warm.add(now, warm, min(1.0, (now - self.warm.at) / SECOND))
         self.usual = sum(s.out for s in held) / max(1, len(held))
         self.others = self.usual * (min(HOLDERS, self.s.gateways) - 1)
 
@@ -141,11 +152,12 @@
         warmth = self.warmth(now, server)
         if warmth >= 1.0:
             return True
-        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here,
-        # times what lies well inside the multiple that it bears: warm ones are seldom at their capacity.
+        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one answers to it,
+        # times what lies well inside the multiple that it bears: warm ones are seldom at their capacity, and
+        # never answer more, whatever is sent to them, so all gateways' parts stay inside it together.
         span = min(TOKENS_SPAN, (now - server.tokens_at) / SECOND)
         more = max(1.0, min(COLD_MORE, COLD_PART * self.s.fall_multiple))
-        each = self.sends.rate(now) / max(1, self.warm) * more
+        each = self.sends.rate(now) / (self.warm.value or 1.0) * more
         least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.banned_at > 0)
         server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span * self.kept)
         server.tokens_at = now
@@ -181,8 +193,6 @@
         server.out += 1
         if self.warmth(now, server) < 1.0:
             server.tokens -= 1.0
-        else:
-            self.sends.add(now, 1.0)
 
     def _telling(self, now: int, outcome: Outcome) -> int:
         """Failures in a row that tell something of one backend. Where attempts break off everywhere, some
@@ -250,6 +260,8 @@
             server.newest = max(server.newest, now - event.elapsed)
             self.newest = max(self.newest, server.newest)
             server.slow.add(now, min(8.0, relative))
+            if self.warmth(now, server) >= 1.0:
+                self.sends.add(now, 1.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.FULL):
             server.fails += 1
             if server.fails >= self._telling(now, event.outcome):
