Keep the list of backends change by change, at a cost that does not grow with it

Change: Fleet.place moves one backend in the sorted ring, and among those not yet warm and those off the list; only a whole list sorts.

--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect
+from bisect import bisect_left
 from collections.abc import Callable, Iterable
 from math import ceil, log
 
@@ -64,12 +64,14 @@
         self.heard: dict[int, int] = {}  # by zone, when its last answer came ...
         self.cut: dict[int, int] = {}  # ... and when it was last found silent
         self.others = 0.0  # mean out at each by the other gateways that hold it
-        self.warm_at: list[int] = []  # when usable ones are warm that started not a long time ago
         self.ring: list[int] = []  # usable backends in an order that is the same at every gateway
+        self.cold: set[int] = set()  # of these, those that may not be warm yet
+        self.unlisted: set[int] = set()  # known, but off the list
 
     def learn(self, now: int, event: Topology) -> None:
-        if event.kind in (ListKind.FULL, ListKind.CACHED):
-            named = {entry.id for entry in event.entries}
+        changed = {entry.id for entry in event.entries}
+        if whole := event.kind in (ListKind.FULL, ListKind.CACHED):
+            named, changed = changed, changed | self.servers.keys()
             for known in self.servers.values():
                 if known.entry.id not in named:
                     known.usable, known.listed = False, False
@@ -86,7 +88,10 @@
                 self.servers[entry.id] = server = fresh
             server.entry, server.usable = entry, entry.health is Health.READY
             server.listed = entry.health is not Health.GONE
-        self._order()
+        if whole:
+            self.ring = sorted(i for i in changed if self.servers[i].usable and i not in self.banned)
+        for backend in changed:
+            self.place(backend)
         self.count(now)
 
     def leave_out(self, now: int, backend: int, out: bool) -> None:
@@ -99,13 +104,20 @@
             fresh.tokens, fresh.tokens_at, fresh.banned_at = self.rng.random(), now, since
             fresh.cold_from = now if server.entry.booted < since else 0
             self.servers[backend] = fresh
-        self._order()
+        self.place(backend)
         self.count(now)
 
-    def _order(self) -> None:
-        self.ring = sorted(i for i, s in self.servers.items() if s.usable and i not in self.banned)
-        booted = (max(self.servers[i].entry.booted, self.servers[i].cold_from) for i in self.ring)
-        self.warm_at = sorted(at + self.s.warm_up for at in booted if at)
+    def place(self, backend: int) -> None:
+        """Where one that changed stands now: what a change costs must not grow with the list."""
+        if (server := self.servers.get(backend)) is None:
+            return
+        at, inside = bisect_left(self.ring, backend), server.usable and backend not in self.banned
+        known = self.ring[at:at + 1] == [backend]
+        if inside != known:
+            self.ring[at:at + known] = [backend] * inside
+        started = max(server.entry.booted, server.cold_from) > 0
+        (self.cold.add if inside and started else self.cold.discard)(backend)
+        (self.unlisted.discard if server.listed else self.unlisted.add)(backend)
 
     def skipped(self, now: int) -> int:
         """Listed backends that get nothing now, by an operator's word or for their symptoms."""
@@ -114,13 +126,15 @@
     def count(self, now: int) -> None:
         # Backends come and go under ever new ids: who is off the list and holds nothing of ours is forgotten,
         # or memory and the choice's work would grow with all that ever were.
-        for gone in [i for i, s in self.servers.items() if not s.listed and not s.out]:
+        for gone in [i for i in self.unlisted if not self.servers[i].out]:
+            self.unlisted.discard(gone)
             del self.servers[gone]
+        self.cold -= {i for i in self.cold if self.warmth(now, self.servers[i]) >= 1.0}
         held = self.held(now)
         # Of the warm ones of all gateways: those held here may all be cold, and their answers come from the
         # others'. Weighed by time, or many lists at once would tell of fewer warm ones than had answered.
         if n := len(self.ring):
-            warm = max(1, n - len(self.warm_at) + bisect(self.warm_at, now)) * len(held) / n
+            warm = max(1, n - len(self.cold)) * len(held) / n
             self.warm.add(now, warm, min(1.0, (now - self.warm.at) / SECOND))
         self.usual = sum(s.out for s in held) / max(1, len(held))
         self.others = self.usual * (min(HOLDERS, self.s.gateways) - 1)
