--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -16,7 +16,7 @@
 
 COLD_FIRST = 0.7  # expected wait at a cold backend whose budget allows a request, against a warm one's
 DOUBTED = 3.0  # added cost of a backend that lately turned the like away or left it unanswered
-COLD_MORE = 1.4  # times its part of what a warm one answers that a cold backend may be sent ...
+COLD_MORE = 1.4  # times its part of what a warm one does that a cold backend may be sent ...
 COLD_PART = 0.7  # ... and at most this part of the multiple of its capacity from which it falls over
 HOLDERS = 10  # gateways that hold a backend: each hears of it often, and it has few connections to keep
 TOKENS_SPAN = 1.0  # s of a cold backend's budget that may be saved up while nothing was to go there
@@ -52,7 +52,8 @@
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
-        self.sends = Mean(MEMORY)  # those that warm backends answered: under overload far fewer than went out
+        # What warm backends answered or had in work when called off: far less than went out in overload.
+        self.worked = Mean(MEMORY)
         self.warm = Mean(MEMORY)  # warm backends for each gateway that holds as many, over the same time ...
         self.warm.at = -SECOND  # ... and as many as the first list tells of from then on
         self.servers: dict[int, Server] = {}
@@ -166,12 +167,12 @@
         warmth = self.warmth(now, server)
         if warmth >= 1.0:
             return True
-        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one answers to it,
+        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one does for it,
         # times what lies well inside the multiple that it bears: warm ones are seldom at their capacity, and
-        # never answer more, whatever is sent to them, so all gateways' parts stay inside it together.
+        # never do more, whatever is sent to them, so all gateways' parts stay inside it together.
         span = min(TOKENS_SPAN, (now - server.tokens_at) / SECOND)
         more = max(1.0, min(COLD_MORE, COLD_PART * self.s.fall_multiple))
-        each = self.sends.rate(now) / (self.warm.value or 1.0) * more
+        each = self.worked.rate(now) / (self.warm.value or 1.0) * more
         least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.banned_at > 0)
         server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span * self.kept)
         server.tokens_at = now
@@ -269,13 +270,13 @@
             server.full[kind] = now + LONG
         if event.outcome in (Outcome.OK, Outcome.RESET, Outcome.ERROR):
             self.broken.add(now, float(event.outcome is not Outcome.OK))
+        if event.outcome in (Outcome.OK, Outcome.CANCELLED) and self.warmth(now, server) >= 1.0:
+            self.worked.add(now, 1.0)
         if event.outcome is Outcome.OK:
             server.fails, server.pause, server.answered_at = 0, SUSPEND, now
             server.newest = max(server.newest, now - event.elapsed)
             self.newest = max(self.newest, server.newest)
             server.slow.add(now, min(8.0, relative))
-            if self.warmth(now, server) >= 1.0:
-                self.sends.add(now, 1.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.FULL):
             server.fails += 1
             if server.fails >= self._telling(now, event.outcome):
--- a/badgerspindle/heritage.py
+++ b/badgerspindle/heritage.py
@@ -80,7 +80,7 @@
     quota.kept = fleet.kept = OLD
     return {
         "accounts": accounts, "servers": servers, "banned": sorted(fleet.banned.items()),
-        "sends": _pack(fleet.sends),
+        "sends": _pack(fleet.worked),
         "latency": [_pack(mean) for mean in model.latency], "shortest": model.shortest, "pace": quota.pace,
         "retries": gateway.retries * NEW,
     }
@@ -124,7 +124,7 @@
         server.banned_at, server.cold_from = seen.banned_at, seen.cold_from
         server.slow = seen.slow
     fleet.banned |= banned
-    fleet.sends = sends
+    fleet.worked = sends
     fleet.count(now)
     for mine, mean in zip(gateway.model.latency, latency, strict=True):
         mine.at, mine.memory, mine.total, mine.weight = mean.at, mean.memory, mean.total, mean.weight
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -263,7 +263,7 @@
     def sent(fleet: Fleet, now: int, server: Server) -> None:
         booked(fleet, now, server)
         if fleet.warmth(now, server) >= 1.0:
-            fleet.sends.add(now, 1.0)
+            fleet.worked.add(now, 1.0)
 
     monkeypatch.setattr(Fleet, "sent", sent)
     assert worst(replace(made(FLEETS[1], 0.9), again=True, lost=9)) > 1.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -528,7 +528,7 @@
 def test_cold_backend_gets_more_than_its_part_and_well_under_its_fall(multiple: float, part: float) -> None:
     g = Gateway(settings(fall_multiple=multiple), 7, 0)
     g.handle(0, full_list(backend(1, booted=1), backend(2)))
-    g.fleet.sends.add(SECOND, 3.0, 3.0)
+    g.fleet.worked.add(SECOND, 3.0, 3.0)
     cold = g.fleet.servers[1]
     cold.tokens, cold.tokens_at = 0.0, 0
     g.fleet.ready(SECOND, cold)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -518,12 +518,12 @@
     g = Gateway(settings(gateways=40, may_message=False), 7, 0)
     g.handle(0, full_list(backend(1, booted=1), backend(2)))
     for i in range(400):
-        g.fleet.sends.add(i * 5 * MS, 1.0)
+        g.fleet.worked.add(i * 5 * MS, 1.0)
     cold = g.fleet.servers[1]
     cold.tokens, cold.tokens_at = 0.0, 0
-    g.fleet.sends.add(10 * SECOND, 200.0, 200.0)
+    g.fleet.worked.add(10 * SECOND, 200.0, 200.0)
     g.fleet.ready(10 * SECOND, cold)
-    one = g.fleet.warmth(10 * SECOND, cold) * g.fleet.sends.rate(10 * SECOND)
+    one = g.fleet.warmth(10 * SECOND, cold) * g.fleet.worked.rate(10 * SECOND)
     assert cold.tokens <= min(2.0, one)
 
 
