--- a/badgerspindle/fleet.py
+++ b/badgerspindle/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_left
 from collections.abc import Callable, Iterable
 from math import ceil, log
 
@@ -15,7 +16,7 @@
 
 COLD_FIRST = 0.7  # expected wait at a cold backend whose budget allows a request, against a warm one's
 DOUBTED = 3.0  # added cost of a backend that lately turned the like away or left it unanswered
-COLD_MORE = 1.4  # times its part of what a warm one gets that a cold backend may be sent ...
+COLD_MORE = 1.4  # times its part of what a warm one does that a cold backend may be sent ...
 COLD_PART = 0.7  # ... and at most this part of the multiple of its capacity from which it falls over
 HOLDERS = 10  # gateways that hold a backend: each hears of it often, and it has few connections to keep
 TOKENS_SPAN = 1.0  # s of a cold backend's budget that may be saved up while nothing was to go there
@@ -50,21 +51,28 @@
     """The list of backends, their health from symptoms, cold budgets, and the choice among them."""
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
-        self.s, self.rng, self.sends = settings, rng, Mean(MEMORY)
+        self.s, self.rng = settings, rng
+        # What warm backends answered or had in work when called off: far less than went out in overload.
+        self.worked = Mean(MEMORY)
+        self.warm = Mean(MEMORY)  # warm backends for each gateway that holds as many, over the same time ...
+        self.warm.at = -SECOND  # ... and as many as the first list tells of from then on
         self.servers: dict[int, Server] = {}
         self.banned: dict[int, int] = {}  # by operators, since when; outlasts whatever the list says
         self.silence = [Mean(LONG) for _ in settings.classes]  # part of the attempts that got no answer
         self.broken = Mean(LONG)  # part of the answered attempts that broke off, over all backends
         self.kept = 1.0  # part of the cold backends' budgets that is this process's
-        self.warm, self.usual, self.newest = 1, 0.0, 0  # warm backends, mean out at each, newest answered
+        self.usual, self.newest = 0.0, 0  # mean out at each, newest answered
         self.heard: dict[int, int] = {}  # by zone, when its last answer came ...
         self.cut: dict[int, int] = {}  # ... and when it was last found silent
         self.others = 0.0  # mean out at each by the other gateways that hold it
         self.ring: list[int] = []  # usable backends in an order that is the same at every gateway
+        self.cold: set[int] = set()  # of these, those that may not be warm yet
+        self.unlisted: set[int] = set()  # known, but off the list
 
     def learn(self, now: int, event: Topology) -> None:
-        if event.kind in (ListKind.FULL, ListKind.CACHED):
-            named = {entry.id for entry in event.entries}
+        changed = {entry.id for entry in event.entries}
+        if whole := event.kind in (ListKind.FULL, ListKind.CACHED):
+            named, changed = changed, changed | self.servers.keys()
             for known in self.servers.values():
                 if known.entry.id not in named:
                     known.usable, known.listed = False, False
@@ -81,7 +89,10 @@
                 self.servers[entry.id] = server = fresh
             server.entry, server.usable = entry, entry.health is Health.READY
             server.listed = entry.health is not Health.GONE
-        self._order()
+        if whole:
+            self.ring = sorted(i for i in changed if self.servers[i].usable and i not in self.banned)
+        for backend in changed:
+            self.place(backend)
         self.count(now)
 
     def leave_out(self, now: int, backend: int, out: bool) -> None:
@@ -94,11 +105,20 @@
             fresh.tokens, fresh.tokens_at, fresh.banned_at = self.rng.random(), now, since
             fresh.cold_from = now if server.entry.booted < since else 0
             self.servers[backend] = fresh
-        self._order()
+        self.place(backend)
         self.count(now)
 
-    def _order(self) -> None:
-        self.ring = sorted(i for i, s in self.servers.items() if s.usable and i not in self.banned)
+    def place(self, backend: int) -> None:
+        """Where one that changed stands now: what a change costs must not grow with the list."""
+        if (server := self.servers.get(backend)) is None:
+            return
+        at, inside = bisect_left(self.ring, backend), server.usable and backend not in self.banned
+        known = self.ring[at:at + 1] == [backend]
+        if inside != known:
+            self.ring[at:at + known] = [backend] * inside
+        started = max(server.entry.booted, server.cold_from) > 0
+        (self.cold.add if inside and started else self.cold.discard)(backend)
+        (self.unlisted.discard if server.listed else self.unlisted.add)(backend)
 
     def skipped(self, now: int) -> int:
         """Listed backends that get nothing now, by an operator's word or for their symptoms."""
@@ -107,10 +127,16 @@
     def count(self, now: int) -> None:
         # Backends come and go under ever new ids: who is off the list and holds nothing of ours is forgotten,
         # or memory and the choice's work would grow with all that ever were.
-        for gone in [i for i, s in self.servers.items() if not s.listed and not s.out]:
+        for gone in [i for i in self.unlisted if not self.servers[i].out]:
+            self.unlisted.discard(gone)
             del self.servers[gone]
+        self.cold -= {i for i in self.cold if self.warmth(now, self.servers[i]) >= 1.0}
         held = self.held(now)
-        self.warm = sum(self.warmth(now, s) >= 1.0 for s in held)
+        # Of the warm ones of all gateways: those held here may all be cold, and their answers come from the
+        # others'. Weighed by time, or many lists at once would tell of fewer warm ones than had answered.
+        if n := len(self.ring):
+            warm = max(1, n - len(self.cold)) * len(held) / n
+            self.warm.add(now, warm, min(1.0, (now - self.warm.at) / SECOND))
         self.usual = sum(s.out for s in held) / max(1, len(held))
         self.others = self.usual * (min(HOLDERS, self.s.gateways) - 1)
 
@@ -141,11 +167,12 @@
         warmth = self.warmth(now, server)
         if warmth >= 1.0:
             return True
-        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one gets from here,
-        # times what lies well inside the multiple that it bears: warm ones are seldom at their capacity.
+        # Rule 4: each gateway sends a cold backend no more than its part of what a warm one does for it,
+        # times what lies well inside the multiple that it bears: warm ones are seldom at their capacity, and
+        # never do more, whatever is sent to them, so all gateways' parts stay inside it together.
         span = min(TOKENS_SPAN, (now - server.tokens_at) / SECOND)
         more = max(1.0, min(COLD_MORE, COLD_PART * self.s.fall_multiple))
-        each = self.sends.rate(now) / max(1, self.warm) * more
+        each = self.worked.rate(now) / (self.warm.value or 1.0) * more
         least = min(LIFTED_EACH, LIFTED_ALL / self.s.gateways) * (server.banned_at > 0)
         server.tokens = min(2.0, server.tokens + max(least, warmth * each) * span * self.kept)
         server.tokens_at = now
@@ -181,8 +208,6 @@
         server.out += 1
         if self.warmth(now, server) < 1.0:
             server.tokens -= 1.0
-        else:
-            self.sends.add(now, 1.0)
 
     def _telling(self, now: int, outcome: Outcome) -> int:
         """Failures in a row that tell something of one backend. Where attempts break off everywhere, some
@@ -245,6 +270,8 @@
             server.full[kind] = now + LONG
         if event.outcome in (Outcome.OK, Outcome.RESET, Outcome.ERROR):
             self.broken.add(now, float(event.outcome is not Outcome.OK))
+        if event.outcome in (Outcome.OK, Outcome.CANCELLED) and self.warmth(now, server) >= 1.0:
+            self.worked.add(now, 1.0)
         if event.outcome is Outcome.OK:
             server.fails, server.pause, server.answered_at = 0, SUSPEND, now
             server.newest = max(server.newest, now - event.elapsed)
--- a/badgerspindle/heritage.py
+++ b/badgerspindle/heritage.py
@@ -36,7 +36,7 @@
     quota.kept = fleet.kept = OLD
     return {
         "accounts": accounts, "servers": servers, "banned": sorted(fleet.banned.items()),
-        "sends": pack_mean(fleet.sends), "latency": [pack_mean(mean) for mean in model.latency],
+        "sends": pack_mean(fleet.worked), "latency": [pack_mean(mean) for mean in model.latency],
         "shortest": model.shortest, "pace": quota.pace, "retries": gateway.retries * NEW,
         "leases": [[c, sorted(a.leases.items())] for c, a in quota.accounts.items() if a.leases],
     }
@@ -64,7 +64,9 @@
         server.banned_at, server.cold_from = seen.banned_at, seen.cold_from
         server.slow = seen.slow
     fleet.banned |= word.banned
-    fleet.sends = word.sends
+    fleet.worked = word.sends
+    for backend in fleet.banned.keys() | {seen.server for seen in word.servers}:
+        fleet.place(backend)
     fleet.count(now)
     for mine, mean in zip(gateway.model.latency, word.latency, strict=True):
         mine.at, mine.memory, mine.total, mine.weight = mean.at, mean.memory, mean.total, mean.weight
