Guard sending, repeating, closing and starting at run time, and count reasons

Cause: nothing in the running gateway noticed a broken rule, and neither log nor metrics told why a request was rejected or sent once more, or why a client's connection ended. Change: one guard each is asked where an attempt's bytes leave, before a further attempt or a rejection, before a client's connection is closed, and before clients are accepted. A violation is counted (violations.*), logged with the request's id, and refused where that is possible. The repeat guard goes by the attempts as made and by the list, not by the engine's notes. New metrics: rejections.*, retries.*, client_closes.*, violations.*, behind those before; QOS_GATEWAY_LOG_LEVEL=debug logs each with request ids.

--- a/qos_gateway/__main__.py
+++ b/qos_gateway/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 
 import uvloop
 
@@ -17,6 +18,8 @@
 from .server.gateway import GatewayProcess
 
 EXIT_CONFIG_ERROR = 2
+LOG_LEVEL_VARIABLE = "QOS_GATEWAY_LOG_LEVEL"
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 # Blocked wherever no handler is in place: a reload that comes early must not kill the process.
 RELOAD_SIGNALS = {signal.SIGHUP}
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -77,12 +80,21 @@
     )
 
 
+def log_level(environment: Mapping[str, str]) -> str:
+    """Return the level that the environment asks for, by default info; raises `ConfigError`."""
+    level = environment.get(LOG_LEVEL_VARIABLE, "info").upper()
+    if level not in LOG_LEVELS:
+        raise ConfigError(f"{LOG_LEVEL_VARIABLE}: {level!r} is none of {', '.join(LOG_LEVELS)}")
+    return level
+
+
 def main() -> int:
     """Run one gateway with the configuration that the environment names; return the exit status."""
     loaded_at_s = time.monotonic()
     signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
+        logging.getLogger().setLevel(log_level(os.environ))
         uvloop.run(serve(load(os.environ), loaded_at_s))
     except ConfigError as error:
         print(f"qos_gateway: {error}", file=sys.stderr)
--- a/qos_gateway/decisions/admission.py
+++ b/qos_gateway/decisions/admission.py
@@ -4,7 +4,7 @@
 from ..state.priority_demand import PriorityDemand
 from ..state.quota_decision import QuotaReply, Verdict
 from ..state.request import RequestState
-from ..types import Action, Arrival
+from ..types import Action, Arrival, RejectReason
 from .commitments import CommitmentTable
 from .dispatch import Dispatcher
 from .queue_model import TARGET_WAIT_FRACTION, TICK
@@ -33,8 +33,10 @@
         if not account.in_flight_cap:
             self.commitments.evaluate(now, account, {})
         self.quota.refill(now, account)
-        if account.in_flight >= account.in_flight_cap or self._is_shed(now, priority):
-            return [self.dispatcher.reject(arrival)]
+        if account.in_flight >= account.in_flight_cap:
+            return [self.dispatcher.reject(arrival, RejectReason.CUSTOMER_CAP)]
+        if self._is_shed(now, priority):
+            return [self.dispatcher.reject(arrival, RejectReason.LOAD_LIMIT)]
         request_class = self.dispatcher.settings.classes[arrival.class_index]
         return self._charge(now, RequestState(arrival, request_class, account, arrived_at=now))
 
@@ -67,7 +69,7 @@
         if decision.verdict is Verdict.ADMITTED:
             return decision.actions + self._admit(now, request, decision.report_usage)
         if decision.verdict is Verdict.REJECTED:
-            return [*decision.actions, self.dispatcher.reject(arrival)]
+            return [*decision.actions, self.dispatcher.reject(arrival, RejectReason.QUOTA)]
         request.reservation_sent_at = now
         self.awaiting_reservation[decision.reservation] = request
         self.dispatcher.requests.open[arrival.request_id] = request
@@ -76,7 +78,7 @@
     def _admit(self, now: int, request: RequestState, report_usage: bool) -> list[Action]:
         send = self.dispatcher.send(now, request)
         if send is None:
-            return [self.dispatcher.reject(request.arrival)]
+            return [self.dispatcher.reject(request.arrival, RejectReason.NO_ENDPOINT)]
         self.dispatcher.requests.open[request.arrival.request_id] = request
         self.dispatcher.retry_budget.deposit()
         if not report_usage:
@@ -95,9 +97,10 @@
             granted = reply.granted
             if granted is None:
                 granted = self.quota.decide_locally(now, request.account, request.arrival.units)
-            actions += (
-                self._admit(now, request, False) if granted else [self.dispatcher.reject(request.arrival)]
-            )
+            if granted:
+                actions += self._admit(now, request, False)
+            else:
+                actions.append(self.dispatcher.reject(request.arrival, RejectReason.QUOTA))
         return actions + self.quota.release_slot(now, request)
 
     def expire_reservations(self, now: int) -> list[Action]:
--- a/qos_gateway/decisions/dispatch.py
+++ b/qos_gateway/decisions/dispatch.py
@@ -3,7 +3,7 @@
 from ..state.request import RequestState
 from ..state.request_table import RequestTable
 from ..state.retry_budget import RetryBudget
-from ..types.actions import Action, Fail, Reject, Send
+from ..types.actions import Action, Fail, Reject, RejectReason, Send
 from ..types.events import NOT_EXECUTED, Arrival, AttemptEnded, Outcome
 from ..types.settings import Settings
 from ..units import SECOND
@@ -116,11 +116,11 @@
         """Give a request up: its final answer is a rejection where a client's retry is harmless."""
         del self.requests.open[request.arrival.request_id]
         if retry_rules.is_retry_harmless(request):
-            return self.reject(request.arrival)
+            return self.reject(request.arrival, RejectReason.NO_RETRY)
         return Fail(request.arrival.request_id)
 
-    def reject(self, arrival: Arrival) -> Reject:
+    def reject(self, arrival: Arrival, reason: RejectReason) -> Reject:
         """Reject a request, with the time after which its client may retry."""
         objective = self.settings.classes[arrival.class_index].latency_objective
         wait = min(RETRY_AFTER, objective // RETRY_AFTER_OBJECTIVE_DIVISOR, self.settings.max_retry_after)
-        return Reject(arrival.request_id, wait * self.settings.sends_retry_after)
+        return Reject(arrival.request_id, wait * self.settings.sends_retry_after, reason)
--- a/qos_gateway/server/accept_drain.py
+++ b/qos_gateway/server/accept_drain.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from .close_reasons import CloseReason
+
 if TYPE_CHECKING:
     from .client_connections import ClientConnections
 
@@ -58,6 +60,6 @@
         for client in self._clients.connections():
             may_close = client.has_sent_command or client.idle_since < now - FIRST_COMMAND_GRACE_S
             if may_close and client.is_idle():
-                client.close()
+                client.close(CloseReason.DRAINED)
             elif now >= self._finish_from:
                 client.finish()
--- a/qos_gateway/server/attempt.py
+++ b/qos_gateway/server/attempt.py
@@ -7,6 +7,7 @@
 
 import hiredis
 
+from ..types import Outcome
 from ..units import MILLISECOND
 from .responses import read_probe_response, read_response
 
@@ -38,6 +39,7 @@
         "ended",
         "expires_at",
         "number",
+        "outcome",
         "request",
         "response_started_at",
         "send_deadline",
@@ -67,6 +69,7 @@
         self.command = AttemptCommand(*command_parts)
         self.response_started_at = 0  # when a large value's first bytes came
         self.ended = False  # its result has been reported
+        self.outcome: Outcome | None = None  # how it ended, None before
         self.connection: BackendConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
 
--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -33,12 +33,17 @@
 
 AttemptEndedCallback = Callable[[Attempt, Outcome, "bytes | None", LoadReport], None]
 IsWantedCallback = Callable[[Attempt], bool]
+AllowsSendCallback = Callable[[Attempt, bool, int], bool]
 
 
 def _always_wanted(_attempt: Attempt) -> bool:
     return True
 
 
+def _always_allowed(_attempt: Attempt, _is_drained: bool, _now: int) -> bool:
+    return True
+
+
 class BackendConnections:
     """All connection pools, bounded together so that descriptors never run out.
 
@@ -56,11 +61,13 @@
         metrics: Metrics,
         on_response_started: ResponseStartedCallback,
         is_wanted: IsWantedCallback = _always_wanted,
+        allows_send: AllowsSendCallback = _always_allowed,
     ) -> None:
         """Start to sweep idle connections; a running event loop is needed.
 
         `on_response_started` gives the sink of a large value, or None where nobody waits for it;
-        `is_wanted` tells whether the client of an attempt about to be written still waits.
+        `is_wanted` tells whether the client of an attempt about to be written still waits, and `allows_send`
+        is the guard that is asked last: given whether the backend is drained, and the time in ns.
         """
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
@@ -71,6 +78,7 @@
         self.max_connections = max_connections
         self.response_started = on_response_started
         self.is_wanted = is_wanted
+        self.allows_send = allows_send
         self._configured_max_connections = max_connections
         self._drain_grace_s = drain_grace_s * DRAIN_GRACE_FRACTION
         self._on_attempt_ended = on_attempt_ended
@@ -178,6 +186,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.outcome = result.outcome
         attempt.connection = None
         if attempt.timer is not None:
             attempt.timer.cancel()
--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -10,6 +10,7 @@
 from .client_commands import one_line, serve_command
 from .client_input import CommandReader, CommandSyntaxError, DeferredInput
 from .client_socket import ClientSocketProtocol, has_unread_bytes, untaken_bytes
+from .close_reasons import CloseReason
 from .logs import RateLimitFilter
 from .pending_replies import PendingReply, ReplyQueue, StreamedReply
 
@@ -33,6 +34,7 @@
     """
 
     __slots__ = (
+        "_close_reason",
         "_closing",
         "_deferred",
         "_discarded_bytes",
@@ -51,6 +53,7 @@
         self._deferred = DeferredInput(owner)
         self._replies = ReplyQueue(owner)
         self._closing = False
+        self._close_reason: CloseReason | None = None  # None while the gateway has not closed it
         self._discarded_bytes = 0  # received while closing
         self._is_parsing = False  # there may be more behind the command that is being served
         self.has_sent_command = False  # whether a whole command ever came
@@ -65,6 +68,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - asyncio names it
         """Report the client's open requests as abandoned."""
+        if self._close_reason is None:
+            self._close_reason = CloseReason.CLIENT_CLOSED
+            self._owner.close_guard.check(self._close_reason, self._replies.unanswered(), False)
+        self._owner.close_guard.connection_ended(self._close_reason)
         self._owner.connection_closed(self)
         self._deferred.take()
         for request_number in self._replies.discard():
@@ -126,7 +133,7 @@
         finally:
             self._is_parsing = False
         if self._owner.closing and self.is_idle():
-            self.close()
+            self.close(CloseReason.DRAINED)
 
     def _defer(self, data: bytes) -> None:
         """Keep what may not be taken yet, and read no more; fail where all clients together sent too much."""
@@ -169,7 +176,7 @@
             self._owner.call_soon(self._resume_serving)
         elif self._owner.closing and self.is_idle():
             # The periodic check of a drain would hardly ever find a busy client idle.
-            self.close()
+            self.close(CloseReason.DRAINED)
 
     def start_stream(self, pending_reply: PendingReply, length: int, flow: FlowControl) -> StreamedReply:
         """Begin a reply that is a large value of so many bytes."""
@@ -185,7 +192,7 @@
             return
         log.warning("large_value_aborted client_connection=closed")
         self._closing = True
-        self.close()
+        self.close(CloseReason.VALUE_ABORTED)
 
     def pause_writing(self) -> None:
         """Stop reading from the client, and from the backend whose value is being written."""
@@ -214,6 +221,22 @@
         if not (self.is_awaiting_replies() or self._closing or self._transport.is_closing()):
             self._reply_and_close(SHUTDOWN_REPLY)
 
+    def close(self, reason: CloseReason) -> None:
+        """Close once all that waits is written."""
+        self._note_close(reason)
+        self._transport.close()
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close at once."""
+        self._note_close(reason)
+        self._transport.abort()
+
+    def _note_close(self, reason: CloseReason) -> None:
+        """Keep the first reason, and let the guard see what is still owed."""
+        if self._close_reason is None and not self._transport.is_closing():
+            self._close_reason = reason
+            self._owner.close_guard.check(reason, self._replies.unanswered(), bool(self._deferred.data))
+
     def _reply_and_close(self, reply: bytes) -> None:
         self.commands.partial_since = 0.0
         self._closing = True
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -10,6 +10,8 @@
 from .accept_drain import ACCEPT_DRAIN_QUIET_S, AcceptDrain
 from .client_connection import ClientConnection
 from .client_timeouts import enforce_timeouts
+from .close_guard import CloseGuard
+from .close_reasons import CloseReason
 from .config import Config
 from .hangup_monitor import HangupMonitor
 from .listener import Listener, bound_socket, inherited_socket
@@ -43,13 +45,16 @@
 class ClientConnections:
     """The listening socket and the connections accepted on it."""
 
-    def __init__(self, config: Config, requests: RequestHandler, max_connections: int) -> None:
+    def __init__(
+        self, config: Config, requests: RequestHandler, max_connections: int, close_guard: CloseGuard
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.time = loop.time
         self.call_soon = loop.call_soon
         self._call_later = loop.call_later
         self.parser = RequestParser(config)
         self.requests = requests
+        self.close_guard = close_guard
         self.hangup_monitor = HangupMonitor()
         # Limits.
         self._configured_max_connections = max_connections
@@ -112,7 +117,7 @@
         client = next(self._evictable(self.time()), None)
         if client is None:
             return False
-        client.close()
+        client.close(CloseReason.EVICTED)
         self.connection_closed(client)
         return True
 
@@ -211,4 +216,4 @@
         self.hangup_monitor.close()
         self.stop_listening()
         for client in self.connections():
-            client.abort()
+            client.abort(CloseReason.SHUTDOWN)
--- a/qos_gateway/server/client_socket.py
+++ b/qos_gateway/server/client_socket.py
@@ -135,11 +135,3 @@
         if not self.half_close_ends_at and not self._transport.is_closing():
             self.half_close_ends_at = now + HALF_CLOSE_TIMEOUT_S
             self._transport.write_eof()
-
-    def close(self) -> None:
-        """Close once all that waits is written."""
-        self._transport.close()
-
-    def abort(self) -> None:
-        """Close at once."""
-        self._transport.abort()
--- a/qos_gateway/server/client_timeouts.py
+++ b/qos_gateway/server/client_timeouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .client_connection import ClientConnection, log
+from .close_reasons import CloseReason
 
 COMMAND_TIMEOUT_S = (
     2.6  # from connecting or a command's first byte to its last: slow clients need 2, 3 is late
@@ -19,10 +20,10 @@
         timeout_s = LARGE_WRITE_STALL_TIMEOUT_S if client.is_writing_large_value() else WRITE_STALL_TIMEOUT_S
         if client.is_write_stalled(now, timeout_s):
             log.warning("client_write_stalled timeout_s=%.1f", timeout_s)
-            client.abort()
+            client.abort(CloseReason.WRITE_STALLED)
     elif client.half_close_ends_at:
         if now >= client.half_close_ends_at:
-            client.abort()
+            client.abort(CloseReason.PROTOCOL_ERROR)
     elif client.commands.partial_since:
         # Before its first command a client's time runs from connecting on.
         started_at = client.commands.partial_since if client.has_sent_command else client.idle_since
@@ -31,7 +32,7 @@
     elif not client.is_awaiting_replies():
         timeout_s = _idle_timeout_s(client, connections_scarce)
         if now - client.idle_since >= timeout_s and client.is_idle():
-            client.close()
+            client.close(CloseReason.IDLE)
 
 
 def _idle_timeout_s(client: ClientConnection, connections_scarce: bool) -> float:
--- a/qos_gateway/server/connection_pool.py
+++ b/qos_gateway/server/connection_pool.py
@@ -37,9 +37,12 @@
 
     def start(self, attempt: Attempt, now: int) -> None:
         """Send an attempt on an idle connection, or open one for it."""
+        if self.is_draining() and not self.owner.allows_send(attempt, True, now):
+            self.owner.loop.call_soon(self.owner.connect_failed, attempt)
+            return
         connection = self.acquire()
         if connection is not None:
-            connection.send(attempt, now)
+            self._send(connection, attempt, False, now)
         elif self.owner.ensure_capacity():
             self._open(attempt)
         else:
@@ -129,13 +132,23 @@
         elif not self.owner.is_wanted(attempt):
             self._close_unused(connection, Outcome.NOT_SENT)
         else:
+            self._send(connection, attempt, self._is_grace_over(), now)
+
+    def _send(self, connection: BackendConnection, attempt: Attempt, is_drained: bool, now: int) -> None:
+        """Write an attempt, or give the connection up where the guard refuses it."""
+        if self.owner.allows_send(attempt, is_drained, now):
             connection.send(attempt, now)
+        else:
+            connection.close()
+            # Later, as an attempt never ends before its start has returned.
+            self.owner.loop.call_soon(self.owner.connect_failed, attempt)
 
     def _is_too_late(self, attempt: Attempt, now: int) -> bool:
         """Return whether the drain's grace, or the idempotency window, ended while it connected."""
-        if self.drain_ends_at is not None and self.owner.loop.time() >= self.drain_ends_at:
-            return True
-        return 0 < attempt.send_deadline <= now
+        return self._is_grace_over() or 0 < attempt.send_deadline <= now
+
+    def _is_grace_over(self) -> bool:
+        return self.drain_ends_at is not None and self.owner.loop.time() >= self.drain_ends_at
 
     def _close_unused(self, connection: BackendConnection, outcome: Outcome) -> None:
         attempt = connection.attempt
--- a/qos_gateway/server/discovery.py
+++ b/qos_gateway/server/discovery.py
@@ -47,6 +47,7 @@
         self._schedule = WatchSchedule(drain_grace_s, random.Random())
         self._closed = False
         self._task: asyncio.Task[None] | None = None
+        self._connection: WatchConnection | None = None  # the watch that was opened last
 
     def start(self) -> None:
         """Open the watch."""
@@ -70,6 +71,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def has_unread_data(self) -> bool:
+        """Return whether the agent has sent what the event loop has not read yet."""
+        return self._connection is not None and self._connection.has_unread_data()
+
     def current_list(self) -> dict[str, Any] | None:
         """Return the list in discovery's form; None if there was none yet."""
         return self._list.snapshot()
@@ -91,6 +96,7 @@
         """Open a watch and return it once it has ended."""
         host, port = self._agent
         watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object)
+        self._connection = watch
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().create_connection(lambda: watch, host, port)
--- a/qos_gateway/server/discovery_watch.py
+++ b/qos_gateway/server/discovery_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -107,6 +108,14 @@
         if self._reader.buffered_bytes() > MAX_OBJECT_BYTES:
             self._finish("object_too_long")
 
+    def has_unread_data(self) -> bool:
+        """Return whether the socket holds bytes, or an end, that the event loop has not read."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the watch."""
         self._finish(f"connection_lost error={exc}" if exc else "connection_closed")
--- a/qos_gateway/server/endpoint_registry.py
+++ b/qos_gateway/server/endpoint_registry.py
@@ -15,7 +15,7 @@
 
     def __init__(self, backends: BackendConnections) -> None:
         self._backends = backends
-        self._listed: set[int] = set()
+        self._listed: dict[int, Endpoint] = {}
         self._addresses: dict[int, Address] = {}  # of those that are ready
         self._admin_disabled: set[int] = set()
 
@@ -27,6 +27,10 @@
         """Count the endpoints that operators have disabled, listed or not."""
         return len(self._admin_disabled)
 
+    def find_listed(self, endpoint: int) -> Endpoint | None:
+        """Return the list's entry of an endpoint, None where it is not listed."""
+        return self._listed.get(endpoint)
+
     def is_listed_or_disabled(self, endpoint: int) -> bool:
         """Return whether operators may name an endpoint: one gone from the list can still be enabled."""
         return endpoint in self._listed or endpoint in self._admin_disabled
@@ -52,10 +56,10 @@
             self.set_admin_disabled(endpoint, True)
 
     def _remove_unnamed(self, named: set[int]) -> None:
-        for endpoint in self._listed - named:
+        for endpoint in self._listed.keys() - named:
             self._addresses.pop(endpoint, None)
             self._backends.set_address(endpoint, None)
-        self._listed = set()
+        self._listed = {}
 
     def _apply_entry(self, entry: Endpoint, addresses: dict[int, Address]) -> None:
         if entry.health is Health.READY:
@@ -64,9 +68,9 @@
             self._addresses.pop(entry.id, None)
         self._update_pool(entry.id)
         if entry.health is Health.REMOVED:
-            self._listed.discard(entry.id)
+            self._listed.pop(entry.id, None)
         else:
-            self._listed.add(entry.id)
+            self._listed[entry.id] = entry
 
     def _update_pool(self, endpoint: int) -> None:
         """Have new connections go to the listed address, or nowhere while the endpoint is disabled."""
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -14,6 +14,7 @@
 from .admin_operations import AdminOperations, AdminTargets
 from .backends import BackendConnections, monotonic_unix_ns
 from .clients import ClientConnections
+from .close_guard import CloseGuard
 from .config import Config, needs_restart
 from .counter import CounterClient
 from .discovery import DiscoveryClient
@@ -22,10 +23,14 @@
 from .event_dispatcher import EventDispatcher
 from .handover import Handover, SharedParts
 from .handover_channel import HandoverChannel
+from .invariants import InvariantMonitor
 from .metrics import Metrics
 from .peers import Peers
+from .repeat_guard import RepeatGuard
 from .request_attempts import RequestAttempts
 from .request_table import RequestTable
+from .send_guard import SendGuard
+from .start_guard import check_start, check_stop
 
 log = logging.getLogger(__name__)
 
@@ -45,27 +50,32 @@
         """Build all parts; nothing is opened before `start`."""
         self.config = config
         self.clock = monotonic_unix_ns()
-        self.metrics = Metrics(config.classes)
+        self.invariants = InvariantMonitor()
+        self.metrics = Metrics(config.classes, self.invariants.violations)
         self.activity = ActivityLog()
         engine = DecisionEngine(config.settings, config.seed, self.clock())
         self.dispatcher = EventDispatcher(engine, self.clock)
         self.requests = RequestTable(config.settings, self.metrics, self.clock, self.dispatcher)
         self.attempts = RequestAttempts(
-            config.settings, self.clock, self.dispatcher, self.requests, self.activity
+            config.settings, self.clock, self.dispatcher, self.requests, self.activity, self.metrics
         )
         connections = max(MIN_CONNECTIONS, config.max_descriptors - RESERVED_DESCRIPTORS)
         backend_connections = int(connections * BACKEND_CONNECTION_FRACTION)
         self.backends = self._build_backends(backend_connections)
-        self.requests.bind(self.backends)
-        self.attempts.bind(self.backends)
-        self.clients = ClientConnections(config, self.requests, connections - backend_connections)
+        self.endpoints = EndpointRegistry(self.backends)
+        repeat_guard = RepeatGuard(config.settings, self.invariants, self.endpoints.find_listed)
+        self.requests.bind(self.backends, repeat_guard)
+        self.attempts.bind(self.backends, SendGuard(self.invariants), repeat_guard)
+        close_guard = CloseGuard(self.invariants, self.metrics, self.requests.client_id)
+        self.clients = ClientConnections(
+            config, self.requests, connections - backend_connections, close_guard
+        )
         self.peers = Peers(
             config.peers, config.peer_broadcast, config.settings.position, self.dispatcher.handle
         )
         self.counter = self._build_counter()
         self.executor = self._build_executor()
         self.dispatcher.bind(self.executor.execute, self.requests.fail_after_fault)
-        self.endpoints = EndpointRegistry(self.backends)
         self.endpoint_feed = EndpointFeed(self.endpoints, self.dispatcher)
         self.discovery = self._build_discovery(self.endpoint_feed.apply_cached(config))
         self.handover = self._build_handover()
@@ -84,6 +94,7 @@
             self.metrics,
             self.attempts.on_response_started,
             self.attempts.is_wanted,
+            self.attempts.allows_send,
         )
 
     def _build_counter(self) -> CounterClient | None:
@@ -165,6 +176,7 @@
             received = await self.handover_channel.request_state()
             if received is not None:
                 self.handover.restore_state(received, self.endpoint_feed.is_received())
+        check_start(self.invariants, self.dispatcher.engine.started, self.discovery.has_unread_data())
         await self.clients.start()
         if self.handover_channel is not None:
             await self.handover_channel.listen()
@@ -180,6 +192,7 @@
         killed_after = min(longest_deadline, MAX_KILL_DEADLINE_NS) + KILL_DELAY_NS
         self.requests.latest_deadline = self.clock() + killed_after - KILL_MARGIN_NS
         await self.clients.drain()
+        check_stop(self.invariants, self.requests.unanswered())
         self.activity.stop()
         await self.discovery.close()
         self.backends.close()
--- a/qos_gateway/server/hangup_monitor.py
+++ b/qos_gateway/server/hangup_monitor.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from .client_connection import ClientConnection
+from .close_reasons import CloseReason
 
 HANGUP_CHECK_INTERVAL_S = 0.05  # a client's end has to be noticed within 0.3 s
 
@@ -42,6 +43,6 @@
         self._timer = None
         for client in list(self._watched):
             if not client.is_closing() and client.has_hung_up():
-                client.abort()
+                client.abort(CloseReason.HANGUP_SEEN)
         if self._watched:
             self._schedule_check()
--- a/qos_gateway/server/metrics.py
+++ b/qos_gateway/server/metrics.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import TypeVar
+
+from ..types import RejectReason
+from .close_reasons import CloseReason
+from .invariants import Invariant
+from .retry_causes import RetryCause
 
 PREFIX = "edge_router"
+Key = TypeVar("Key", bound=Enum)
 _UNSAFE_IN_NAME = re.compile(r"[^0-9A-Za-z_-]")  # would be read as structure inside a metric's name
 
 
@@ -22,11 +29,15 @@
 class Metrics:
     """Counters: each request once, where it is answered, and each attempt once it is wholly written."""
 
-    def __init__(self, classes: Iterable[bytes]) -> None:
-        """Take the names of the request classes, in the order of their indices."""
+    def __init__(self, classes: Iterable[bytes], violations: Mapping[Invariant, int] | None = None) -> None:
+        """Take the names of the request classes, in the order of their indices, and the violations."""
         self.classes = tuple(_UNSAFE_IN_NAME.sub("_", name.decode()) for name in classes)
         self.requests = [dict.fromkeys(RequestResult, 0) for _ in self.classes]
         self.attempts = 0
+        self.rejections = dict.fromkeys(RejectReason, 0)
+        self.retries = dict.fromkeys(RetryCause, 0)
+        self.client_closes = dict.fromkeys(CloseReason, 0)
+        self.violations: Mapping[Invariant, int] = {} if violations is None else violations
 
     def count_request(self, class_index: int, result: RequestResult) -> None:
         """Count one answered request."""
@@ -54,6 +65,14 @@
         f"{PREFIX}.in_progress:{gauges.open_requests}|g",
         f"{PREFIX}.known_order_servers:{gauges.listed_endpoints}|g",
         f"{PREFIX}.skipped_order_servers:{gauges.excluded_endpoints}|g",
-        "",
     ]
+    lines += _counters("rejections", metrics.rejections)
+    lines += _counters("retries", metrics.retries)
+    lines += _counters("client_closes", metrics.client_closes)
+    lines += _counters("violations", {key: metrics.violations.get(key, 0) for key in Invariant})
+    lines.append("")
     return "\n".join(lines).encode()
+
+
+def _counters(name: str, counts: Mapping[Key, int]) -> list[str]:
+    return [f"{PREFIX}.{name}.{key.value}:{count}|c" for key, count in counts.items()]
--- a/qos_gateway/server/pending_replies.py
+++ b/qos_gateway/server/pending_replies.py
@@ -145,6 +145,10 @@
         """Return the oldest pending reply's large value, or None where it is none."""
         return self.pending[0].stream if self.pending else None
 
+    def unanswered(self) -> list[int]:
+        """Return the numbers of the requests without a reply; -1 for other commands."""
+        return [pending.request_number for pending in self.pending if pending.reply is None]
+
     def discard(self) -> list[int]:
         """Drop all replies of a lost connection, and return the numbers of the requests without one."""
         pending = self.pending
--- /dev/null
+++ b/qos_gateway/server/repeat_guard.py
@@ -0,0 +1,102 @@
+"""The guard of repeating: whether a request may run once more, by what its attempts so far have shown.
+
+It goes by the attempts as they were made and by the list, not by the decision engine's own notes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from ..types import NOT_EXECUTED, Endpoint, Idempotence, IdempotencyScope, RequestClass, Settings
+from .attempt import Attempt
+from .invariants import Invariant, InvariantMonitor
+
+
+class RepeatedRequest(Protocol):
+    """What the guard needs of a request."""
+
+    attempts: list[Attempt]
+
+    @property
+    def attempts_started(self) -> int:
+        """Return how many attempts were ordered, those included that were not made."""
+
+    @property
+    def client_id(self) -> bytes:
+        """Return the client's own id of the request."""
+
+    @property
+    def class_index(self) -> int:
+        """Return the index of its class."""
+
+
+class RepeatGuard:
+    """Refuses an attempt, or an invitation to the client to repeat, that could run a request twice."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        monitor: InvariantMonitor,
+        find_endpoint: Callable[[int], Endpoint | None],
+    ) -> None:
+        """Take `find_endpoint` to look a listed endpoint up by its id."""
+        self._settings = settings
+        self._monitor = monitor
+        self._find_endpoint = find_endpoint
+
+    def allows_attempt(self, request: RepeatedRequest, endpoint: int, now: int) -> bool:
+        """Return whether a further attempt may be made at an endpoint."""
+        return self._check(request, self._broken_rule(request, endpoint, now))
+
+    def allows_rejection(self, request: RepeatedRequest) -> bool:
+        """Return whether the client may be told that a repeat is harmless: it can reach any endpoint."""
+        request_class = self._settings.classes[request.class_index]
+        is_harmless = request_class.idempotence is Idempotence.IDEMPOTENT or (
+            request_class.idempotence is Idempotence.KEYED
+            and request_class.idempotency_scope is IdempotencyScope.ALL
+        )
+        if is_harmless or not _first_possible_execution(request.attempts):
+            return True
+        return self._check(request, "rejected_after_possible_execution")
+
+    def _check(self, request: RepeatedRequest, rule: str | None) -> bool:
+        if rule is None:
+            return True
+        self._monitor.report(Invariant.REPEAT, rule, request.client_id)
+        return False
+
+    def _broken_rule(self, request: RepeatedRequest, endpoint: int, now: int) -> str | None:
+        if request.attempts_started >= self._settings.max_attempts:
+            return "too_many_attempts"
+        if not self._settings.hedging and any(not attempt.ended for attempt in request.attempts):
+            return "two_attempts_at_once"
+        first = _first_possible_execution(request.attempts)
+        if first is None:
+            return None
+        request_class = self._settings.classes[request.class_index]
+        if request_class.idempotence is Idempotence.NOT_IDEMPOTENT:
+            return "not_idempotent"
+        if request_class.idempotence is Idempotence.KEYED:
+            return self._broken_key_rule(request_class, first, endpoint, now)
+        return None
+
+    def _broken_key_rule(
+        self, request_class: RequestClass, first: Attempt, endpoint: int, now: int
+    ) -> str | None:
+        if now - first.started_at >= request_class.idempotency_window:
+            return "idempotency_window"
+        before, after = self._find_endpoint(first.backend), self._find_endpoint(endpoint)
+        if before is None or after is None:
+            return None  # one has left the list, and nobody can tell its zone or cell any more
+        scope = request_class.idempotency_scope
+        if scope is IdempotencyScope.ZONE and before.zone != after.zone:
+            return "idempotency_zone"
+        if scope is IdempotencyScope.CELL and before.cell != after.cell:
+            return "idempotency_cell"
+        return None
+
+
+def _first_possible_execution(attempts: Iterable[Attempt]) -> Attempt | None:
+    """Return the first attempt that may have executed, or may yet; None where none may."""
+    return next((attempt for attempt in attempts if attempt.outcome not in NOT_EXECUTED), None)
--- a/qos_gateway/server/request_attempts.py
+++ b/qos_gateway/server/request_attempts.py
@@ -12,9 +12,13 @@
 from .activity_log import ActivityLog
 from .backends import Attempt, BackendConnections, FlowControl, LoadReport, ProbeAttempt
 from .clients import StreamedReply
+from .close_reasons import CloseReason
 from .event_dispatcher import EventDispatcher
-from .metrics import RequestResult
+from .metrics import Metrics, RequestResult
+from .repeat_guard import RepeatGuard
+from .request_log import log_retry, retry_cause
 from .request_table import FAILED_ANSWER, OpenRequest, RequestTable
+from .send_guard import SendGuard
 
 log = logging.getLogger(__name__)
 
@@ -32,18 +36,24 @@
         dispatcher: EventDispatcher,
         requests: RequestTable,
         activity: ActivityLog,
+        metrics: Metrics,
     ) -> None:
         self._report_names = settings.report_names
         self._clock = clock
         self._handle = dispatcher.handle
         self._requests = requests
         self._activity = activity
+        self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._backends: BackendConnections
+        self._send_guard: SendGuard
+        self._repeat_guard: RepeatGuard
 
-    def bind(self, backends: BackendConnections) -> None:
-        """Name the pools that attempts run on; to be called before the first attempt."""
+    def bind(self, backends: BackendConnections, send_guard: SendGuard, repeat_guard: RepeatGuard) -> None:
+        """Name the pools that attempts run on, and the guards; to be called before the first attempt."""
         self._backends = backends
+        self._send_guard = send_guard
+        self._repeat_guard = repeat_guard
 
     # Orders of the engine.
 
@@ -57,10 +67,11 @@
             self._report_not_sent(action, 0, request_finished=True)
             return
         index = request.attempts_started
+        is_refused = index > 0 and not self._may_repeat(request, action.endpoint, now)
         request.attempts_started += 1
         finished = request.closed or self._client_has_left(request)
         time_left = request.deadline - now
-        if finished or time_left <= 0:
+        if finished or is_refused or time_left <= 0:
             self._report_not_sent(action, index, request_finished=finished)
             return
         has_own_timeout = 0 < action.timeout < time_left
@@ -70,9 +81,17 @@
         attempt = Attempt(
             action.request_id, index, action.endpoint, now, expires, parts, action.send_deadline
         )
+        request.attempts.append(attempt)
         request.attempts_in_flight[index] = attempt
         self._backends.start_attempt(attempt, action.timeout / SECOND if has_own_timeout else None)
 
+    def _may_repeat(self, request: OpenRequest, endpoint: int, now: int) -> bool:
+        """Count and log a further attempt with its cause, and return whether the guard allows it."""
+        cause = retry_cause(request.attempts)
+        self._metrics.retries[cause] += 1
+        log_retry(request.client_id, cause, request.attempts_started, endpoint)
+        return self._repeat_guard.allows_attempt(request, endpoint, now)
+
     def cancel(self, action: CancelAttempt) -> None:
         """Stop waiting for an attempt, in a later turn of the loop: its end is an event of its own."""
         request = self._requests.get(action.request_id)
@@ -98,7 +117,9 @@
         client = request.slot.client
         if not client.has_hung_up():
             return False
-        self._loop.call_soon(client.abort)  # its requests end where all do whose client has left
+        self._loop.call_soon(
+            client.abort, CloseReason.HANGUP_SEEN
+        )  # its requests end where all do whose client has left
         return True
 
     # Calls of the connection pools.
@@ -108,6 +129,11 @@
         request = self._requests.get(attempt.request)
         return request is None or not self._client_has_left(request)
 
+    def allows_send(self, attempt: Attempt, is_drained: bool, now: int) -> bool:
+        """Return whether the guard lets an attempt be written now."""
+        request = None if isinstance(attempt, ProbeAttempt) else self._requests.get(attempt.request)
+        return self._send_guard.allows(attempt, request, is_drained, now)
+
     def on_response_started(self, attempt: Attempt, length: int, flow: FlowControl) -> StreamedReply | None:
         """Begin to stream a large value; None if nobody waits for it or another one is on its way."""
         number = attempt.request
--- /dev/null
+++ b/qos_gateway/server/request_log.py
@@ -0,0 +1,56 @@
+"""The log of requests: why each was rejected or sent once more, and why each client's connection ended.
+
+The lines are at debug level, as there is one for each event; the metrics count the same reasons at any level.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+from ..types import RejectReason
+from .attempt import Attempt
+from .close_reasons import CloseReason
+from .retry_causes import CAUSE_OF_OUTCOME, RetryCause
+
+log = logging.getLogger(__name__)
+
+
+def retry_cause(attempts: Sequence[Attempt]) -> RetryCause:
+    """Return why a request whose attempts so far are these is sent once more."""
+    if not attempts:
+        return RetryCause.NOT_SENT
+    last = attempts[-1]
+    if last.outcome is None:
+        return RetryCause.HEDGED
+    return CAUSE_OF_OUTCOME.get(last.outcome, RetryCause.ERROR)
+
+
+def log_retry(request_id: bytes, cause: RetryCause, attempt: int, endpoint: int) -> None:
+    """Log a further attempt."""
+    if log.isEnabledFor(logging.DEBUG):
+        log.debug(
+            "request_retried request=%s cause=%s attempt=%d endpoint=%d",
+            request_id.decode(),
+            cause.value,
+            attempt,
+            endpoint,
+        )
+
+
+def log_rejection(request_id: bytes, reason: RejectReason, attempts: int) -> None:
+    """Log a rejection."""
+    if log.isEnabledFor(logging.DEBUG):
+        log.debug(
+            "request_rejected request=%s reason=%s attempts=%d", request_id.decode(), reason.value, attempts
+        )
+
+
+def log_client_close(reason: CloseReason, unanswered: Sequence[bytes]) -> None:
+    """Log the end of a client's connection, with the requests that it leaves without an answer."""
+    if log.isEnabledFor(logging.DEBUG):
+        log.debug(
+            "client_closed reason=%s unanswered=%s",
+            reason.value,
+            b",".join(unanswered).decode() or "none",
+        )
--- a/qos_gateway/server/request_table.py
+++ b/qos_gateway/server/request_table.py
@@ -13,6 +13,8 @@
 from .clients import ClientRequest, InvalidCommandError, PendingReply
 from .event_dispatcher import EventDispatcher
 from .metrics import Metrics, RequestResult
+from .repeat_guard import RepeatGuard
+from .request_log import log_rejection
 
 DEADLINE_MARGIN_NS = 10 * MILLISECOND  # off a client's time: the way to it and back, and a loop that lags
 NO_DEADLINE_NS = 1 << 62  # later than any request ends
@@ -42,6 +44,7 @@
     """A request from its arrival until its final answer and the end of its last attempt."""
 
     __slots__ = (
+        "attempts",
         "attempts_in_flight",
         "attempts_started",
         "call",
@@ -59,9 +62,20 @@
         self.closed = False  # answered, or its client has left
         self.streaming_attempt: Attempt | None = None  # the one whose large value flows to the client
         self.attempts_started = 0
+        self.attempts: list[Attempt] = []  # all that were started, ended or not
         self.attempts_in_flight: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
 
+    @property
+    def client_id(self) -> bytes:
+        """Return the client's own id of the request."""
+        return self.call.request_id
+
+    @property
+    def class_index(self) -> int:
+        """Return the index of its class in the settings."""
+        return self.call.class_index
+
 
 class RequestTable:
     """All open requests by number. Each gets one final answer at most, and none after its client left."""
@@ -79,10 +93,12 @@
         self._requests: dict[int, OpenRequest] = {}
         self._open_ids: set[bytes] = set()  # the clients' ids of those that still owe an answer
         self._attempts: AttemptControl
+        self._repeat_guard: RepeatGuard
 
-    def bind(self, attempts: AttemptControl) -> None:
-        """Name the pools that the attempts run on; to be called before the first request."""
+    def bind(self, attempts: AttemptControl, repeat_guard: RepeatGuard) -> None:
+        """Name the pools that the attempts run on, and the guard; to be called before the first request."""
         self._attempts = attempts
+        self._repeat_guard = repeat_guard
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -94,6 +110,11 @@
         """Return an open request, or None once it is over."""
         return self._requests.get(number)
 
+    def client_id(self, number: int) -> bytes:
+        """Return the client's own id of an open request; nothing once it is over."""
+        request = self._requests.get(number)
+        return b"" if request is None or request.closed else request.client_id
+
     def unanswered(self) -> int:
         """Count the requests that still owe an answer."""
         return len(self._open_ids)
@@ -155,6 +176,11 @@
         request = self._requests.get(action.request_id)
         if request is None or request.closed:
             return
+        log_rejection(request.client_id, action.reason, len(request.attempts))
+        self._metrics.rejections[action.reason] += 1
+        if not self._repeat_guard.allows_rejection(request):
+            self.answer(action.request_id, request, FAILED_ANSWER, RequestResult.FAILED)
+            return
         retry_after_ms = -(-action.retry_after // MILLISECOND)
         answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else b"-BUSY\r\n"
         self.answer(action.request_id, request, answer, RequestResult.REJECTED)
--- /dev/null
+++ b/qos_gateway/server/retry_causes.py
@@ -0,0 +1,31 @@
+"""Why a request is sent once more."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ..types import Outcome
+
+
+class RetryCause(Enum):
+    """Why a further attempt is made; the values are parts of the metrics' names."""
+
+    HEDGED = "hedged"  # an attempt still waits for its response
+    ERROR = "error"
+    OVERLOADED = "overloaded"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+CAUSE_OF_OUTCOME = {
+    Outcome.ERROR: RetryCause.ERROR,
+    Outcome.OVERLOADED: RetryCause.OVERLOADED,
+    Outcome.TIMEOUT: RetryCause.TIMEOUT,
+    Outcome.CONNECT_FAILED: RetryCause.CONNECT_FAILED,
+    Outcome.RESET: RetryCause.RESET,
+    Outcome.CANCELLED: RetryCause.CANCELLED,
+    Outcome.NOT_SENT: RetryCause.NOT_SENT,
+}
--- /dev/null
+++ b/qos_gateway/server/send_guard.py
@@ -0,0 +1,51 @@
+"""The guard of sending: whether an attempt may be written now, asked where its bytes leave the process."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from .attempt import Attempt
+from .invariants import Invariant, InvariantMonitor
+
+
+class WaitingRequest(Protocol):
+    """What the guard needs of the request that an attempt is for."""
+
+    closed: bool
+    deadline: int
+
+    @property
+    def client_id(self) -> bytes:
+        """Return the client's own id of the request."""
+
+
+class SendGuard:
+    """Refuses an attempt that must not be written: a violation, as what leads to it is prevented."""
+
+    def __init__(self, monitor: InvariantMonitor) -> None:
+        self._monitor = monitor
+
+    def allows(self, attempt: Attempt, request: WaitingRequest | None, is_drained: bool, now: int) -> bool:
+        """Return whether an attempt may be written at `now`; `request` is None for a probe."""
+        rule = self._broken_rule(attempt, request, is_drained, now)
+        if rule is None:
+            return True
+        self._monitor.report(Invariant.SEND, rule, b"" if request is None else request.client_id)
+        return False
+
+    def _broken_rule(
+        self, attempt: Attempt, request: WaitingRequest | None, is_drained: bool, now: int
+    ) -> str | None:
+        if is_drained:
+            return "drained_endpoint"
+        if request is None:
+            return None
+        if request.closed:
+            return "answered_request"
+        if attempt.expires_at <= now:
+            return "time_over"
+        if attempt.expires_at > request.deadline:
+            return "deadline_beyond_request"
+        if 0 < attempt.send_deadline <= now:
+            return "idempotency_window"
+        return None
--- a/qos_gateway/types/actions.py
+++ b/qos_gateway/types/actions.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,12 +16,24 @@
     send_deadline: int = 0  # from when on it must not be written any more, however late a connection; 0: none
 
 
+class RejectReason(Enum):
+    """Why a request was rejected; the values are parts of the metrics' names."""
+
+    UNSPECIFIED = "unspecified"
+    CUSTOMER_CAP = "customer_cap"  # the customer's cap on requests in flight
+    LOAD_LIMIT = "load_limit"  # the limit on all requests in flight
+    QUOTA = "quota"
+    NO_ENDPOINT = "no_endpoint"  # none may be used, or no time is left
+    NO_RETRY = "no_retry"  # no attempt executed, and no further one is possible
+
+
 @dataclass(frozen=True, slots=True)
 class Reject:
     """Give the final answer: rejected, a retry by the client is harmless."""
 
     request_id: int
     retry_after: int
+    reason: RejectReason = field(default=RejectReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/server/test_admin.py
+++ b/tests/server/test_admin.py
@@ -10,7 +10,11 @@
 
 from qos_gateway.server import admin, admin_connection
 from qos_gateway.server.admin import AdminServer
+from qos_gateway.server.close_reasons import CloseReason
+from qos_gateway.server.invariants import Invariant, InvariantMonitor
 from qos_gateway.server.metrics import Gauges, Metrics, RequestResult, render
+from qos_gateway.server.retry_causes import RetryCause
+from qos_gateway.types import RejectReason
 from tests.support.servers import (
     LOOPBACK,
     call_command,
@@ -173,11 +177,16 @@
 
 
 def test_metrics_are_rendered_one_a_line() -> None:
-    metrics = Metrics((b"stock-check", b"look.up|x"))
+    monitor = InvariantMonitor()
+    metrics = Metrics((b"stock-check", b"look.up|x"), monitor.violations)
     metrics.count_request(0, RequestResult.SERVED)
     metrics.count_request(1, RequestResult.REJECTED)
     metrics.count_request(1, RequestResult.FAILED)
     metrics.attempts = 5
+    metrics.rejections[RejectReason.QUOTA] += 2
+    metrics.retries[RetryCause.CONNECT_FAILED] += 3
+    metrics.client_closes[CloseReason.EVICTED] += 4
+    monitor.report(Invariant.CLOSE, "unanswered_idle", b"9b1f03aa5c7e2d41")
     assert render(metrics, Gauges(14, 9, 2)).decode().splitlines() == [
         "edge_router.handled.stock-check.passed:1|c",
         "edge_router.handled.stock-check.dropped:0|c",
@@ -189,6 +198,33 @@
         "edge_router.in_progress:14|g",
         "edge_router.known_order_servers:9|g",
         "edge_router.skipped_order_servers:2|g",
+        "edge_router.rejections.unspecified:0|c",
+        "edge_router.rejections.customer_cap:0|c",
+        "edge_router.rejections.load_limit:0|c",
+        "edge_router.rejections.quota:2|c",
+        "edge_router.rejections.no_endpoint:0|c",
+        "edge_router.rejections.no_retry:0|c",
+        "edge_router.retries.hedged:0|c",
+        "edge_router.retries.error:0|c",
+        "edge_router.retries.overloaded:0|c",
+        "edge_router.retries.timeout:0|c",
+        "edge_router.retries.connect_failed:3|c",
+        "edge_router.retries.reset:0|c",
+        "edge_router.retries.cancelled:0|c",
+        "edge_router.retries.not_sent:0|c",
+        "edge_router.client_closes.client_closed:0|c",
+        "edge_router.client_closes.hangup_seen:0|c",
+        "edge_router.client_closes.idle:0|c",
+        "edge_router.client_closes.evicted:4|c",
+        "edge_router.client_closes.drained:0|c",
+        "edge_router.client_closes.protocol_error:0|c",
+        "edge_router.client_closes.write_stalled:0|c",
+        "edge_router.client_closes.value_aborted:0|c",
+        "edge_router.client_closes.shutdown:0|c",
+        "edge_router.violations.send:0|c",
+        "edge_router.violations.repeat:0|c",
+        "edge_router.violations.close:1|c",
+        "edge_router.violations.start:0|c",
     ]
 
 
