A soak test: real gateways under overlapping faults, judged from outside

Cause: the suites try one fault at a time; what breaks where two or three meet was not looked for on real sockets.

--- /dev/null
+++ b/soak/gateways.py
@@ -0,0 +1,272 @@
+"""The gateways: real processes, started, signalled and restarted."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import re
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from soak.discovery_agents import (
+    OLD_AGENT_CLOSES_AFTER_S,
+    DiscoveryAgent,
+    ListSource,
+)
+from soak.observations import ProcessSeen, Record
+from soak.settings import LOCALHOST, Addresses, Deployment, configuration
+
+READY_TIMEOUT_S = 30.0
+PING_INTERVAL_S = 0.05
+KILL_AFTER_DEADLINE_S = 0.7  # over the longest deadline, after SIGTERM
+MAX_KILL_DEADLINE_S = 3.0  # of which it counts so much at most
+PAUSE_S = 0.14
+AGENT_LAG_S = 1.5
+FRONT_NOTICES_STOP_S = 0.3  # for which new connections still come after SIGTERM
+PING = b"*1\r\n$4\r\nPING\r\n"
+FAULT_WORDS = re.compile(r"invariant_violated|Traceback|event_fault|action_fault|Error\b.*exception")
+LISTENING_WORDS = "listening on="
+
+
+@dataclass(frozen=True, slots=True)
+class Launch:
+    """How gateways are started."""
+
+    command: tuple[str, ...] = (sys.executable, "-m", "qos_gateway")
+    environment: tuple[tuple[str, str], ...] = ()
+
+
+class GatewayProcess:
+    """One process of a gateway."""
+
+    def __init__(self, seen: ProcessSeen, process: asyncio.subprocess.Process, log_path: Path) -> None:
+        self.seen = seen
+        self.process = process
+        self.port = 0
+        self.takes_new_connections = False
+        self._log_path = log_path
+        self._listening = asyncio.get_running_loop().create_future()
+        self._log_task = asyncio.get_running_loop().create_task(self._read_log())
+
+    async def _read_log(self) -> None:
+        assert self.process.stderr is not None
+        with self._log_path.open("ab") as file:
+            while line := await self.process.stderr.readline():
+                file.write(line)
+                text = line.decode(errors="replace")
+                if LISTENING_WORDS in text and not self._listening.done():
+                    self._listening.set_result(int(text.rsplit(":", 1)[1]))
+                if FAULT_WORDS.search(text):
+                    self.seen.faults.append(text.strip())
+        if not self._listening.done():
+            self._listening.set_result(0)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until it answers `PING`, or has ended."""
+        loop = asyncio.get_running_loop()
+        self.port = await self._listening
+        while self.port and self.process.returncode is None:
+            if loop.time() - self.seen.started_at > READY_TIMEOUT_S:
+                return
+            if await self._answers_ping():
+                self.seen.ready_at = loop.time()
+                self.takes_new_connections = True
+                return
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    async def _answers_ping(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(LOCALHOST, self.port)
+            writer.write(PING)
+            answer = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return answer == b"+PONG\r\n"
+
+    def is_serving(self) -> bool:
+        """Return whether clients may still send on the connections they have."""
+        return self.seen.exited_at is None and self.seen.ready_at is not None
+
+    async def wait(self) -> None:
+        """Note the end."""
+        status = await self.process.wait()
+        if self.seen.exited_at is None:
+            self.seen.exited_at = asyncio.get_running_loop().time()
+            self.seen.exit_status = status
+        self.takes_new_connections = False
+        await self._log_task
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Gateway:
+    """One gateway: its process, its agents, and what it is told."""
+
+    def __init__(
+        self,
+        position: int,
+        deployment: Deployment,
+        source: ListSource,
+        record: Record,
+        folder: Path,
+        launch: Launch,
+        seed: int,
+    ) -> None:
+        self.position = position
+        self.agents = [
+            DiscoveryAgent(position, source, record, random.Random(f"agent {seed} {position} {n}"))
+            for n in range(2)
+        ]
+        self.process: GatewayProcess | None = None
+        self.moved_at: list[float] = []  # SIGHUP with a configuration that can be used
+        self._deployment = deployment
+        self._source = source
+        self._record = record
+        self._launch = launch
+        self._seed = seed
+        self._path = folder / f"n{position}.json"
+        self._log_path = folder / f"n{position}.log"
+        self._counter = ""
+        self._number = 0
+        self._busy = False  # being started or stopped
+        self._waiters: set[asyncio.Task[None]] = set()
+
+    @property
+    def agent(self) -> DiscoveryAgent:
+        """Return the agent that the configuration names."""
+        return self.agents[0]
+
+    async def prepare(self, counter_address: str) -> None:
+        """Start the agents."""
+        self._counter = counter_address
+        for agent in self.agents:
+            await agent.start()
+
+    def _configuration_text(self, known: bool) -> str:
+        version = self._source.version
+        known_list = self._source.whole_list(version, self.position) if known else None
+        addresses = Addresses(self.agent.address, self._counter)
+        seed = f"{self._seed:08x}{self.position:04x}{self._number:04x}"
+        return json.dumps(configuration(self._deployment, self.position, addresses, known_list, seed))
+
+    async def start(self, known: bool = False) -> None:
+        """Start a process and wait until it is ready."""
+        loop = asyncio.get_running_loop()
+        self._number += 1
+        self._path.write_text(self._configuration_text(known))
+        seen = ProcessSeen(self.position, self._number, loop.time())
+        self._record.processes.append(seen)
+        process = await asyncio.create_subprocess_exec(
+            *self._launch.command,
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                **dict(self._launch.environment),
+                "ROUTER_CONFIG": str(self._path),
+                "TMPDIR": str(self._path.parent),
+            },
+        )
+        self.process = GatewayProcess(seen, process, self._log_path)
+        waiter = loop.create_task(self.process.wait())
+        self._waiters.add(waiter)
+        waiter.add_done_callback(self._waiters.discard)
+        await self.process.wait_until_ready()
+
+    async def restart(self) -> None:
+        """End the process by SIGTERM as the platform does, and start the next one."""
+        process = self.process
+        if self._busy or process is None or not process.is_serving():
+            return
+        self._busy = True
+        await self.terminate()
+        await self.start(known=True)
+        self._busy = False
+
+    async def terminate(self) -> None:
+        """Send SIGTERM, and SIGKILL when the platform would."""
+        process = self.process
+        if process is None or process.seen.exited_at is not None:
+            return
+        loop = asyncio.get_running_loop()
+        process.seen.terminated_at = loop.time()
+        process.signal(signal.SIGTERM)
+        loop.call_later(FRONT_NOTICES_STOP_S, setattr, process, "takes_new_connections", False)
+        patience_s = min(MAX_KILL_DEADLINE_S, self._deployment.longest_deadline_s) + KILL_AFTER_DEADLINE_S
+        try:
+            await asyncio.wait_for(asyncio.shield(process.process.wait()), patience_s)
+        except TimeoutError:
+            process.seen.killed_at = loop.time()
+            process.signal(signal.SIGKILL)
+        await process.process.wait()
+
+    async def kill(self) -> None:
+        """End the process by SIGKILL, and start the next one."""
+        process = self.process
+        if self._busy or process is None or not process.is_serving():
+            return
+        self._busy = True
+        process.seen.killed_at = asyncio.get_running_loop().time()
+        process.takes_new_connections = False
+        process.signal(signal.SIGKILL)
+        await process.process.wait()
+        await self.start(known=True)
+        self._busy = False
+
+    async def pause(self) -> None:
+        """Hold the process up for a moment."""
+        process = self.process
+        if process is None or process.seen.exited_at is not None:
+            return
+        process.seen.paused.append(asyncio.get_running_loop().time())
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        process.signal(signal.SIGCONT)
+
+    def reload(self, torn_first: bool = False) -> None:
+        """Name the other agent in the configuration, and send SIGHUP."""
+        process = self.process
+        if self._busy or process is None or not process.is_serving():
+            return
+        loop = asyncio.get_running_loop()
+        old = self.agent
+        self.agents.reverse()
+        text = self._configuration_text(known=False)
+        if torn_first:
+            self._path.write_text(text[: len(text) // 2])
+            process.signal(signal.SIGHUP)
+        replacement = self._path.with_suffix(".new")
+        replacement.write_text(text)
+        replacement.replace(self._path)
+        process.signal(signal.SIGHUP)
+        self.moved_at.append(loop.time())
+        loop.call_later(OLD_AGENT_CLOSES_AFTER_S, self._close_old_agent, old)
+
+    def reload_to_silent_agent(self) -> None:
+        """Reload with an agent whose next watch says nothing."""
+        self.agents[1].mutes_next_watch = True
+        self.reload()
+
+    def reload_to_lagging_agent(self, version: int) -> None:
+        """Reload with an agent that has only an older list for a while."""
+        self.agents[1].lag(version, AGENT_LAG_S)
+        self.reload()
+
+    def _close_old_agent(self, agent: DiscoveryAgent) -> None:
+        if agent is not self.agent:
+            agent.reset_watches()
+
+    async def close(self) -> None:
+        """End what is left."""
+        if self.process is not None:
+            self.process.signal(signal.SIGKILL)
+            await self.process.wait()
+        for agent in self.agents:
+            agent.close()
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,111 @@
+"""The schedule of a run: which faults come when, all drawn from the seed, and made to overlap."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+TROUBLES_PER_MEETING = (2, 3)
+MEETING_INTERVAL_S = 1.6  # between two moments at which several troubles meet
+MEETING_SPREAD_S = 0.9  # by which those of one moment lie apart
+QUIET_START_S = 2.0
+QUIET_END_S = 8.0  # without new troubles, in which service must come back
+
+
+class TroubleKind(Enum):
+    """What happens. A target is the number of a gateway or an order server."""
+
+    # Gateways.
+    RESTART = "restart"  # SIGTERM, and a new process at once
+    KILL = "kill"  # SIGKILL, and a new process at once
+    RELOAD = "reload"  # SIGHUP: discovery and counter have moved
+    RELOAD_TORN = "reload_torn"  # SIGHUP on half a file, then on the whole one
+    RELOAD_SILENT = "reload_silent"  # SIGHUP to an agent whose first watch says nothing
+    RELOAD_LAGGING = "reload_lagging"  # SIGHUP to an agent that still has the list of some seconds before
+    PAUSE = "pause"  # held up for 0.14 s
+    # Discovery.
+    WATCH_SILENT = "watch_silent"
+    WATCH_RESET = "watch_reset"
+    DISCOVERY_DOWN = "discovery_down"
+    # Order servers.
+    HANG = "hang"  # takes commands and answers none
+    SLOW = "slow"
+    RESET = "reset"  # resets connections under commands
+    BUSY = "busy"
+    ERROR = "error"
+    CRASH = "crash"  # dies, and is back cold
+    DRAIN = "drain"  # drains, and is back later
+    REPLACE = "replace"  # one drains, and a new one joins cold
+    SPOILT = "spoilt"  # malformed, broken off, repeated responses
+    IDLE_CLOSE = "idle_close"  # closes idle connections early
+    UNACCEPTING = "unaccepting"  # new connections come up late or never
+    # Clients.
+    PIPELINE = "pipeline"  # many commands at once
+    LEAVE = "leave"  # clients close under their requests
+    HALF_COMMAND = "half_command"
+    GARBAGE = "garbage"
+    # The counter.
+    COUNTER_DOWN = "counter_down"
+    COUNTER_SLOW = "counter_slow"
+
+
+OF_GATEWAYS = frozenset(
+    {
+        TroubleKind.RESTART,
+        TroubleKind.KILL,
+        TroubleKind.RELOAD,
+        TroubleKind.RELOAD_TORN,
+        TroubleKind.RELOAD_SILENT,
+        TroubleKind.RELOAD_LAGGING,
+        TroubleKind.PAUSE,
+        TroubleKind.WATCH_SILENT,
+        TroubleKind.WATCH_RESET,
+        TroubleKind.DISCOVERY_DOWN,
+        TroubleKind.PIPELINE,
+        TroubleKind.LEAVE,
+        TroubleKind.HALF_COMMAND,
+        TroubleKind.GARBAGE,
+    }
+)
+OF_COUNTER = frozenset({TroubleKind.COUNTER_DOWN, TroubleKind.COUNTER_SLOW})
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One fault."""
+
+    kind: TroubleKind
+    at: float  # s after the clients' start
+    duration_s: float
+    targets: tuple[int, ...]
+
+
+def draw_schedule(
+    seed: int,
+    duration_s: float,
+    gateways: int,
+    order_servers: int,
+    kinds: tuple[TroubleKind, ...] = tuple(TroubleKind),
+) -> list[Trouble]:
+    """Draw the troubles of a run, in the order of their times."""
+    rng = random.Random(f"schedule {seed}")
+    troubles: list[Trouble] = []
+    moment = QUIET_START_S
+    while moment < duration_s - QUIET_END_S:
+        for _ in range(rng.randint(*TROUBLES_PER_MEETING)):
+            at = moment + rng.uniform(0.0, MEETING_SPREAD_S)
+            troubles.append(_draw_trouble(rng, rng.choice(kinds), at, gateways, order_servers))
+        moment += MEETING_INTERVAL_S
+    return sorted(troubles, key=lambda trouble: trouble.at)
+
+
+def _draw_trouble(
+    rng: random.Random, kind: TroubleKind, at: float, gateways: int, order_servers: int
+) -> Trouble:
+    if kind in OF_COUNTER:
+        return Trouble(kind, at, rng.uniform(0.5, 3.0), ())
+    population = gateways if kind in OF_GATEWAYS else order_servers
+    most = max(1, population // 3)
+    targets = tuple(rng.sample(range(population), rng.randint(1, most)))
+    return Trouble(kind, at, rng.uniform(0.3, 3.0), targets)
--- /dev/null
+++ b/soak/settings.py
@@ -0,0 +1,199 @@
+"""The deployment that a soak plays, drawn from its seed, and the configuration of its gateways."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+SECOND_NS = 1_000_000_000
+LOCALHOST = "127.0.0.1"
+MEMORY_MB = 96
+DESCRIPTORS = 400
+MACHINE_CLASS = "m1"
+
+
+class Effect(Enum):
+    """What a class of requests allows once it may have executed; the values are those of the settings."""
+
+    IDEMPOTENT = "free"
+    KEYED = "guarded"
+    NOT_IDEMPOTENT = "single_shot"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """A class of requests."""
+
+    name: str
+    effect: Effect
+    scope: str  # of an idempotency key: all, zone or cell
+    objective_s: float
+    deadline_s: float
+    window_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanTerms:
+    """A customer's plan; `ceiling_rate` is 0 where there is none."""
+
+    name: str
+    rate: float
+    burst: float
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """All that gateways are told at their start, and how large the fleet is."""
+
+    gateways: int
+    order_servers: int
+    zones: tuple[str, ...]
+    kinds: tuple[RequestKind, ...]
+    plans: tuple[PlanTerms, ...]
+    drain_grace_s: float
+    allows_hedging: bool
+    max_attempts: int
+    slow_start_window_s: float
+    initial_capacity: float
+    overload_window_s: float
+    overload_multiple: float
+    server_capacity: float  # requests a second that a warm order server completes
+    work_s: float  # mean time that a request takes there
+    requests_per_s: float  # that each gateway gets
+
+    @property
+    def longest_deadline_s(self) -> float:
+        """Return the longest deadline of all classes."""
+        return max(kind.deadline_s for kind in self.kinds)
+
+
+def draw_deployment(seed: int, gateways: int, order_servers: int, requests_per_s: float) -> Deployment:
+    """Draw a deployment; the fleet's size is given."""
+    rng = random.Random(f"deployment {seed}")
+    scopes = ("all", "zone", "cell")
+    kinds = (
+        RequestKind("lookup", Effect.IDEMPOTENT, "all", 0.8, rng.choice((1.5, 2.0, 3.0)), 0.0),
+        RequestKind(
+            "order", Effect.KEYED, rng.choice(scopes), 0.8, rng.choice((1.5, 2.5)), rng.choice((0.6, 1.5))
+        ),
+        RequestKind("pay", Effect.NOT_IDEMPOTENT, "all", 0.8, rng.choice((1.5, 2.5)), 0.0),
+    )
+    plans = (PlanTerms("team", 500.0, 1000.0), PlanTerms("volume", 8.0, 16.0, 12.0, 24.0, 3.0))
+    return Deployment(
+        gateways=gateways,
+        order_servers=order_servers,
+        zones=("a", "b"),
+        kinds=kinds,
+        plans=plans,
+        drain_grace_s=0.25,
+        allows_hedging=rng.random() < 0.7,
+        max_attempts=rng.choice((3, 4, 5)),
+        slow_start_window_s=rng.choice((6.0, 12.0)),
+        initial_capacity=0.2,
+        overload_window_s=2.0,
+        overload_multiple=2.0,
+        server_capacity=4.0 * requests_per_s * gateways / order_servers,
+        work_s=rng.choice((0.01, 0.03)),
+        requests_per_s=requests_per_s,
+    )
+
+
+def nested_settings(deployment: Deployment, position: int) -> dict[str, Any]:
+    """Return the settings of one gateway in their nested form."""
+    return {
+        "classes": [_class_settings(kind) for kind in deployment.kinds],
+        "packages": [_plan_settings(plan) for plan in deployment.plans],
+        "zones": list(deployment.zones),
+        "kinds": [MACHINE_CLASS],
+        "zone": position % len(deployment.zones),
+        "position": position,
+        "replicasOfMe": deployment.gateways,
+        "report": {"how": "answers", "names": ["load_share", "concurrent"]},
+        "limits": {
+            "maxAttempts": deployment.max_attempts,
+            "secondCopies": deployment.allows_hedging,
+            "cancel": True,
+            "probes": False,
+            "peerMessages": False,
+            "retryAfter": True,
+            "maxRetryAfter": SECOND_NS,
+            "connectTimeout": SECOND_NS // 4,
+            "connIdle": 30 * SECOND_NS,
+        },
+        "familyInfo": {
+            "counter": True,
+            "counterTimeout": 80_000_000,
+            "usePeriod": 0,
+            "largest": 1,
+            "mailPerS": 0.0,
+            "truedUp": False,
+        },
+        "rules": {
+            "askWithin": 10 * SECOND_NS,
+            "drainGrace": int(deployment.drain_grace_s * SECOND_NS),
+            "fall": int(deployment.overload_window_s * SECOND_NS),
+            "fallMultiple": deployment.overload_multiple,
+            "startCapacity": deployment.initial_capacity,
+            "warmUp": int(deployment.slow_start_window_s * SECOND_NS),
+        },
+        "prices": {"crossZone": 0.01},
+        "discovery": "pushed",
+    }
+
+
+def _class_settings(kind: RequestKind) -> dict[str, Any]:
+    return {
+        "name": kind.name,
+        "aim": int(kind.objective_s * SECOND_NS),
+        "deadline": int(kind.deadline_s * SECOND_NS),
+        "points": 1.0,
+        "lateWorth": 0.0,
+        "idempotency": kind.effect.value,
+        "group": kind.scope,
+        "window": int(kind.window_s * SECOND_NS),
+    }
+
+
+def _plan_settings(plan: PlanTerms) -> dict[str, Any]:
+    return {
+        "name": plan.name,
+        "quotaRate": plan.rate,
+        "mostAtOnce": plan.burst,
+        "parallel": 0,
+        "worthFactor": 1.0,
+        "beyondEarns": 0.0,
+        "excessCost": 1.0,
+        "ceilingRate": plan.ceiling_rate,
+        "hardBurst": plan.ceiling_burst,
+        "ceilingSlack": plan.ceiling_slack,
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where one gateway finds the others."""
+
+    discovery: str
+    counter: str
+
+
+def configuration(
+    deployment: Deployment, position: int, addresses: Addresses, known: dict[str, Any] | None, seed: str
+) -> dict[str, Any]:
+    """Return the content of one gateway's configuration file."""
+    return {
+        "name": f"n{position}",
+        "listen": f"{LOCALHOST}:0",
+        "discovery": addresses.discovery,
+        "counter": addresses.counter,
+        "seed": seed,
+        "limits": {"cores": 1.0, "sockets": DESCRIPTORS, "memory_mb": MEMORY_MB},
+        "peers": [],
+        "known": known,
+        "settings": nested_settings(deployment, position),
+    }
