--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,7 +67,7 @@
             order_servers=arguments.order_servers,
             requests_per_s=arguments.requests_per_s,
             kinds=kinds,
-            launch=Launch() if library is None else Launch(environment=call_shim.environment(library, seed)),
+            launch=Launch(failing_calls=library),
             log_folder=None if arguments.logs is None else arguments.logs / str(seed),
         )
         verdict, record = uvloop.run(play(options))
--- a/soak/call_shim.py
+++ b/soak/call_shim.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 
 SOURCE = Path(__file__).with_name("faulty_calls.c")
+PROCESSES_PER_GATEWAY = 100
+PROCESSES_PER_SEED = 100 * PROCESSES_PER_GATEWAY
 COMPILERS = ("cc", "gcc", "clang")
 
 
@@ -27,6 +29,7 @@
     return target
 
 
-def environment(library: Path, seed: int) -> tuple[tuple[str, str], ...]:
-    """Return the variables with which a gateway is started under the library."""
-    return (("LD_PRELOAD", str(library)), ("SOAK_FAULTS_SEED", str(seed + 1)))
+def environment(library: Path, seed: int, gateway: int, process: int) -> dict[str, str]:
+    """Return the variables with which a process of a gateway is started under the library."""
+    number = (seed + 1) * PROCESSES_PER_SEED + gateway * PROCESSES_PER_GATEWAY + process
+    return {"LD_PRELOAD": str(library), "SOAK_FAULTS_SEED": str(number)}
--- a/soak/discovery_agents.py
+++ b/soak/discovery_agents.py
@@ -106,6 +106,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Join the agent's connections."""
         self.transport = cast(asyncio.Transport, transport)
+        if self._agent.is_retired:
+            self.abort()
+            return
         self._agent.watches.add(self)
         if self._agent.mutes_next_watch:
             self._agent.mutes_next_watch = False
@@ -147,6 +150,7 @@
         self.gateway = gateway
         self.watches: set[WatchConnection] = set()
         self.mutes_next_watch = False
+        self.is_retired = False
         self.omits_draining = rng.random() < 0.5  # from whole lists
         self._loop = asyncio.get_running_loop()
         self._source = source
@@ -189,6 +193,11 @@
         self.outages.append((self._loop.time(), self._down_until))
         self._loop.call_later(duration_s, self.on_change)
 
+    def retire(self) -> None:
+        """Serve nobody any more, as after a move."""
+        self.is_retired = True
+        self.reset_watches()
+
     def lag(self, version: int, duration_s: float) -> None:
         """Have an older list for a while."""
         self._version = min(version, self._version)
--- a/soak/faulty_calls.c
+++ b/soak/faulty_calls.c
@@ -25,12 +25,21 @@
 enum call { ACCEPT, CONNECT, SOCKET, OPEN, WAIT, WRITE, READ };
 
 static uint64_t seed;
+static uint64_t started_ns;
 static uint64_t draws;
 
+static uint64_t now_ns(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (uint64_t)now.tv_sec * 1000000000ull + (uint64_t)now.tv_nsec;
+}
+
 __attribute__((constructor)) static void read_seed(void)
 {
     const char *text = getenv("SOAK_FAULTS_SEED");
-    seed = text ? strtoull(text, NULL, 10) * 0x9e3779b97f4a7c15ull + (uint64_t)getpid() : 0;
+    seed = text ? strtoull(text, NULL, 10) * 0x9e3779b97f4a7c15ull : 0;
+    started_ns = now_ns();
 }
 
 static uint64_t mix(uint64_t x)
@@ -44,11 +53,9 @@
 
 static int fails(enum call call)
 {
-    struct timespec now;
     if (!seed)
         return 0;
-    clock_gettime(CLOCK_MONOTONIC, &now);
-    uint64_t window = ((uint64_t)now.tv_sec * 1000000000ull + (uint64_t)now.tv_nsec) / WINDOW_NS;
+    uint64_t window = (now_ns() - started_ns) / WINDOW_NS;
     if ((mix(seed ^ mix(window * 8 + call)) & 0xff) >= BAD_WINDOWS_PER_256)
         return 0;
     return (int)(mix(seed + ++draws) & 1);
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from soak import call_shim
 from soak.discovery_agents import (
     OLD_AGENT_CLOSES_AFTER_S,
     DiscoveryAgent,
@@ -37,7 +38,7 @@
     """How gateways are started."""
 
     command: tuple[str, ...] = (sys.executable, "-m", "qos_gateway")
-    environment: tuple[tuple[str, str], ...] = ()
+    failing_calls: Path | None = None  # the library that lets system calls fail
 
 
 class GatewayProcess:
@@ -54,7 +55,7 @@
 
     async def _read_log(self) -> None:
         assert self.process.stderr is not None
-        with self._log_path.open("ab") as file:
+        with self._log_path.open("ab", buffering=0) as file:
             while line := await self.process.stderr.readline():
                 file.write(line)
                 text = line.decode(errors="replace")
@@ -68,7 +69,10 @@
     async def wait_until_ready(self) -> None:
         """Wait until it answers `PING`, or has ended."""
         loop = asyncio.get_running_loop()
-        self.port = await self._listening
+        try:
+            self.port = await asyncio.wait_for(asyncio.shield(self._listening), READY_TIMEOUT_S)
+        except TimeoutError:
+            return
         while self.port and self.process.returncode is None:
             if loop.time() - self.seen.started_at > READY_TIMEOUT_S:
                 return
@@ -157,6 +161,12 @@
         seed = f"{self._seed:08x}{self.position:04x}{self._number:04x}"
         return json.dumps(configuration(self._deployment, self.position, addresses, known_list, seed))
 
+    def _faulty_environment(self) -> dict[str, str]:
+        library = self._launch.failing_calls
+        if library is None:
+            return {}
+        return call_shim.environment(library, self._seed, self.position, self._number)
+
     async def start(self, known: bool = False) -> None:
         """Start a process and wait until it is ready."""
         loop = asyncio.get_running_loop()
@@ -169,7 +179,7 @@
             stderr=asyncio.subprocess.PIPE,
             env={
                 **os.environ,
-                **dict(self._launch.environment),
+                **self._faulty_environment(),
                 "ROUTER_CONFIG": str(self._path),
                 "TMPDIR": str(self._path.parent),
             },
@@ -238,6 +248,7 @@
         loop = asyncio.get_running_loop()
         old = self.agent
         self.agents.reverse()
+        self.agent.is_retired = False
         text = self._configuration_text(known=False)
         if torn_first:
             self._path.write_text(text[: len(text) // 2])
@@ -261,7 +272,7 @@
 
     def _close_old_agent(self, agent: DiscoveryAgent) -> None:
         if agent is not self.agent:
-            agent.reset_watches()
+            agent.retire()
 
     async def close(self) -> None:
         """End what is left."""
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -22,6 +22,7 @@
 ANSWER_SLACK_S = 0.05 + 0.5  # after a request's time: later it is lost
 DEADLINE_SLACK_S = 0.15  # by which an attempt may tell more than the client has left
 WINDOW_SLACK_S = 0.05 + 0.15
+COPY_SLACK_S = 0.02  # between a close and the next attempt, as the servers see them
 LEFT_SLACK_S = 0.1 + 0.05
 READ_SURELY_S = 0.3  # after a request was written: the gateway has read it
 READY_WITHIN_S = 10.0
@@ -207,7 +208,7 @@
     found = []
     for before, after in pairwise(attempts):
         slack_s = timing.slack_s(after.gateway, after.last_byte_at, after.last_byte_at)
-        is_out = before.ended_at is None or before.ended_at > after.last_byte_at + WINDOW_SLACK_S + slack_s
+        is_out = before.ended_at is None or before.ended_at > after.last_byte_at + COPY_SLACK_S + slack_s
         if is_out and before.gateway == after.gateway:
             text = f"two attempts at once request={request_id}"
             found.append(Violation(Rule.SECOND_COPY, after.last_byte_at, text))
--- /dev/null
+++ b/soak/mutants.py
@@ -0,0 +1,257 @@
+"""Gateways that are broken on purpose, one for each rule: `python -m soak.mutants NAME` runs one.
+
+The judge has to notice each of them, or its silence on the real gateway would say nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import count
+from typing import Any
+
+from qos_gateway import __main__ as program
+from qos_gateway.decisions import load_balancer as load_balancer_module
+from qos_gateway.decisions import retry_rules, slow_start, stalled_requests
+from qos_gateway.decisions.dispatch import Dispatcher
+from qos_gateway.decisions.load_balancer import LoadBalancer
+from qos_gateway.decisions.quota.base import Quota
+from qos_gateway.server import client_timeouts, endpoint_list
+from qos_gateway.server import gateway as gateway_module
+from qos_gateway.server.attempt import Attempt
+from qos_gateway.server.client_socket import ClientSocketProtocol
+from qos_gateway.server.config import load
+from qos_gateway.server.connection_pool import ConnectionPool
+from qos_gateway.server.gateway import GatewayProcess
+from qos_gateway.server.repeat_guard import RepeatGuard
+from qos_gateway.server.request_attempts import RequestAttempts
+from qos_gateway.server.request_table import RequestTable
+from qos_gateway.server.send_guard import SendGuard
+from qos_gateway.server.start_guard import check_start
+from qos_gateway.state.endpoint import EndpointState
+from qos_gateway.state.quota_decision import QuotaDecision
+from qos_gateway.state.retry_budget import RetryBudget
+from qos_gateway.types import Health, RequestClass
+from qos_gateway.units import SECOND
+
+LOST_EVERY = 20
+CRASH_AFTER_S = 3.0
+FAIL_AFTER_S = 3.0
+HEDGE_AFTER = SECOND // 20  # ns
+EXTRA_ATTEMPTS = 20
+
+
+def _yes(*_: Any) -> bool:
+    return True
+
+
+def _nothing(*_: Any) -> None:
+    return None
+
+
+def _disable_guards() -> None:
+    setattr(RepeatGuard, "allows_attempt", _yes)  # noqa: B010 - mypy forbids plain assignment to a method
+    setattr(RepeatGuard, "allows_rejection", _yes)  # noqa: B010
+    setattr(SendGuard, "allows", _yes)  # noqa: B010
+
+
+def _patch(owner: object, name: str, value: object) -> None:
+    if not hasattr(owner, name):
+        raise AttributeError(f"{owner!r} has no {name}")
+    setattr(owner, name, value)
+
+
+def lose_answers() -> None:
+    """Forget every twentieth answer."""
+    answer = RequestTable.answer
+    numbers = count(1)
+
+    def forget(self: RequestTable, number: int, request: Any, *rest: Any) -> None:
+        if next(numbers) % LOST_EVERY:
+            answer(self, number, request, *rest)
+        else:
+            self._close(number, request)
+
+    _patch(RequestTable, "answer", forget)
+
+
+def mix_values_up() -> None:
+    """Give a client the value of the request before."""
+    answer_with = RequestAttempts._answer_with  # noqa: SLF001
+    values = [b"none"]
+
+    def mix(self: RequestAttempts, request: Any, attempt: Attempt, outcome: Any, value: bytes | None) -> None:
+        if value is not None:
+            values.append(value)
+            value = values.pop(0)
+        answer_with(self, request, attempt, outcome, value)
+
+    _patch(RequestAttempts, "_answer_with", mix)
+
+
+def ignore_leaving() -> None:
+    """Go on for clients that have left."""
+    _patch(ClientSocketProtocol, "has_hung_up", lambda _: False)
+    _patch(RequestTable, "client_disconnected", _nothing)
+    _disable_guards()
+
+
+def promise_too_much_time() -> None:
+    """Tell order servers more time than the client has."""
+    payload = Attempt.payload
+    _patch(Attempt, "payload", lambda self, now: payload(self, now - SECOND))
+
+
+def repeat_everything() -> None:
+    """Send again what may not be repeated."""
+    _patch(RequestClass, "is_repeatable", property(_yes))
+    _patch(retry_rules, "retry_filter", _nothing)
+    _patch(RetryBudget, "allows", _yes)
+    _disable_guards()
+
+
+def invite_every_repeat() -> None:
+    """Tell clients that a repeat is harmless, whatever has run."""
+    _patch(retry_rules, "is_retry_harmless", _yes)
+    _disable_guards()
+
+
+def try_without_end() -> None:
+    """Make more attempts than are allowed."""
+    _change_settings(max_attempts=EXTRA_ATTEMPTS)
+    _patch(RetryBudget, "allows", _yes)
+
+    def pick_any(self: LoadBalancer, *_: Any) -> EndpointState:
+        return self.endpoints[self.rng.choice(self.ring)]
+
+    _patch(LoadBalancer, "pick", pick_any)
+
+
+def hedge_always() -> None:
+    """Make second attempts where they are not allowed."""
+    _change_settings(hedging=True)
+
+    def hedge(now: int, dispatcher: Dispatcher) -> list[Any]:
+        waiting = [r for r in dispatcher.requests.open.values() if r.attempts_in_flight == 1]
+        late = [r for r in waiting if now - r.last_attempt_at >= HEDGE_AFTER]
+        return [send for r in late if (send := dispatcher.send(now, r, untried_only=True)) is not None]
+
+    _patch(stalled_requests, "hedge", hedge)
+
+
+def _change_settings(**changes: Any) -> None:
+    def load_changed(environment: Any) -> Any:
+        config = load(environment)
+        return replace(config, settings=replace(config.settings, **changes))
+
+    _patch(program, "load", load_changed)
+
+
+def ignore_drains() -> None:
+    """Take endpoints that drain for ready ones."""
+    _patch(endpoint_list, "_HEALTH", dict.fromkeys(("in_service", "terminating", "terminated"), Health.READY))
+
+
+def ignore_reloads() -> None:
+    """Stay at the old discovery after SIGHUP."""
+    _patch(GatewayProcess, "reconfigure", _nothing)
+
+
+def skip_slow_start() -> None:
+    """Send to cold endpoints first of all."""
+    _patch(slow_start, "has_token", _yes)
+    _patch(load_balancer_module, "has_token", _yes)
+    _patch(load_balancer_module, "SLOW_START_COST_FACTOR", 0.001)
+
+
+def ignore_ceilings() -> None:
+    """Let every request of every customer in."""
+    _patch(Quota, "decide", lambda *_: QuotaDecision.immediate(True))
+
+
+def crash() -> None:
+    """End with an error after some seconds."""
+    start = GatewayProcess.start
+
+    async def start_and_crash(self: GatewayProcess) -> None:
+        await start(self)
+        asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, 3)
+
+    _patch(GatewayProcess, "start", start_and_crash)
+
+
+def stop_at_once() -> None:
+    """Close everything on SIGTERM."""
+
+    async def stop(self: GatewayProcess) -> None:
+        self.clients.abort()
+
+    _patch(GatewayProcess, "stop", stop)
+
+
+def wait_for_bad_clients() -> None:
+    """Never give up on an incomplete command."""
+    _patch(client_timeouts, "COMMAND_TIMEOUT_S", 3600.0)
+
+
+def stop_serving() -> None:
+    """Send nothing on after some seconds."""
+    start = ConnectionPool.start
+
+    def fail(self: ConnectionPool, attempt: Attempt, now: int) -> None:
+        if self.owner.loop.time() - STARTED_AT_S[0] < FAIL_AFTER_S:
+            start(self, attempt, now)
+        else:
+            self.owner.loop.call_soon(self.owner.connect_failed, attempt)
+
+    _patch(ConnectionPool, "start", fail)
+    start_process = GatewayProcess.start
+
+    async def note_start(self: GatewayProcess) -> None:
+        STARTED_AT_S[0] = asyncio.get_running_loop().time()
+        await start_process(self)
+
+    _patch(GatewayProcess, "start", note_start)
+
+
+def serve_without_a_list() -> None:
+    """Accept clients before the engine has any list: the gateway's own guard has to tell."""
+    _patch(gateway_module, "check_start", lambda monitor, *_: check_start(monitor, False, False))
+
+
+STARTED_AT_S = [0.0]
+MUTANTS: dict[str, Callable[[], None]] = {
+    mutant.__name__: mutant
+    for mutant in (
+        lose_answers,
+        mix_values_up,
+        ignore_leaving,
+        promise_too_much_time,
+        repeat_everything,
+        invite_every_repeat,
+        try_without_end,
+        hedge_always,
+        ignore_drains,
+        ignore_reloads,
+        skip_slow_start,
+        ignore_ceilings,
+        crash,
+        stop_at_once,
+        wait_for_bad_clients,
+        stop_serving,
+        serve_without_a_list,
+    )
+}
+
+
+def main() -> int:
+    """Run the gateway with one mutant in place."""
+    MUTANTS[sys.argv[1]]()
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/soak/order_servers.py
+++ b/soak/order_servers.py
@@ -289,6 +289,8 @@
             reply = ERROR_REPLY
         if self.has_fault(TroubleKind.HANG):
             self._held.append(lambda: connection.reply(seen, reply))
+        elif self._meets(TroubleKind.LOST_RESPONSE):
+            return
         elif self._meets(TroubleKind.SPOILT):
             self._reply_spoilt(connection, seen, reply)
         else:
--- a/soak/run.py
+++ b/soak/run.py
@@ -41,6 +41,7 @@
         TroubleKind.RESET,
         TroubleKind.BUSY,
         TroubleKind.ERROR,
+        TroubleKind.LOST_RESPONSE,
         TroubleKind.SPOILT,
         TroubleKind.IDLE_CLOSE,
         TroubleKind.UNACCEPTING,
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,132 @@
+"""The soak on real gateways, kept short; and gateways broken on purpose, which its judge has to notice."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import replace
+
+import pytest
+import uvloop
+
+from soak.gateways import Launch
+from soak.judge import Verdict
+from soak.mutants import MUTANTS
+from soak.run import Options, play
+from soak.schedule import Trouble, TroubleKind
+from soak.settings import Deployment, Effect, draw_deployment
+from soak.violations import Rule
+
+SEED = 7
+GATEWAYS, ORDER_SERVERS = 3, 6
+REQUESTS_PER_S = 20.0
+DURATION_S = 8.0
+RECOVERY_DURATION_S = 12.0
+EVERY_GATEWAY = tuple(range(GATEWAYS))
+SOME_SERVERS = (0, 1, 2)
+PARALLEL_RUNS = 6
+
+
+def deployment(seed: int = SEED) -> Deployment:
+    drawn = draw_deployment(seed, GATEWAYS, ORDER_SERVERS, REQUESTS_PER_S)
+    kinds = tuple(
+        replace(kind, scope="cell", window_s=1.0, deadline_s=1.5)
+        if kind.effect is Effect.KEYED
+        else replace(kind, deadline_s=1.5)
+        for kind in drawn.kinds
+    )
+    plans = (
+        drawn.plans[0],
+        replace(drawn.plans[1], rate=1.0, burst=2.0, ceiling_rate=1.5, ceiling_burst=3.0),
+    )
+    return replace(
+        drawn,
+        kinds=kinds,
+        plans=plans,
+        allows_hedging=False,
+        max_attempts=2,
+        slow_start_window_s=12.0,
+        work_s=0.01,
+    )
+
+
+def trouble(kind: TroubleKind, at: float = 1.5, duration_s: float = 2.0) -> Trouble:
+    of_gateways = kind.value in {"restart", "reload", "leave", "half_command"}
+    return Trouble(kind, at, duration_s, EVERY_GATEWAY if of_gateways else SOME_SERVERS)
+
+
+KIND = TroubleKind
+LEAVES = tuple(trouble(KIND.LEAVE, 1.5 + 0.25 * n) for n in range(8))
+RELOAD_AND_DRAIN = (
+    trouble(KIND.RELOAD, 0.5),
+    trouble(KIND.DRAIN, 3.0, 4.0),
+)
+
+EXPECTED = {
+    "lose_answers": (Rule.LOST, ()),
+    "mix_values_up": (Rule.WRONG_VALUE, ()),
+    "ignore_leaving": (Rule.CLIENT_LEFT, (trouble(KIND.UNACCEPTING, 1.0, 4.0), *LEAVES)),
+    "promise_too_much_time": (Rule.DEADLINE, ()),
+    "repeat_everything": (Rule.DUPLICATE, (trouble(KIND.RESET),)),
+    "invite_every_repeat": (Rule.FALSE_REFUSAL, (trouble(KIND.RESET),)),
+    "try_without_end": (
+        Rule.TOO_MANY_ATTEMPTS,
+        (trouble(KIND.BUSY, 1.0, 6.0), trouble(KIND.UNACCEPTING, 1.0, 6.0)),
+    ),
+    "hedge_always": (Rule.SECOND_COPY, (trouble(KIND.HANG, 2.0, 4.0),)),
+    "ignore_drains": (Rule.DRAIN, (trouble(KIND.DRAIN, 1.5, 5.0),)),
+    "ignore_reloads": (Rule.DRAIN, RELOAD_AND_DRAIN),
+    "skip_slow_start": (Rule.SLOW_START, (replace(trouble(KIND.REPLACE), targets=(0,)),)),
+    "ignore_ceilings": (Rule.CEILING, ()),
+    "crash": (Rule.CRASH, ()),
+    "stop_at_once": (Rule.LOST, (trouble(KIND.HANG, 1.6, 2.0), trouble(KIND.RESTART, 2.0))),
+    "wait_for_bad_clients": (Rule.BAD_CLIENT, (trouble(KIND.HALF_COMMAND),)),
+    "stop_serving": (Rule.RECOVERY, ()),
+    "serve_without_a_list": (Rule.REPORTED_ITSELF, ()),
+}
+
+
+def options(name: str | None, troubles: tuple[Trouble, ...]) -> Options:
+    command = (sys.executable, "-m", "qos_gateway" if name is None else "soak.mutants")
+    launch = Launch(command if name is None else (*command, name))
+    rule = None if name is None else EXPECTED[name][0]
+    return Options(
+        seed=SEED,
+        duration_s=RECOVERY_DURATION_S if rule is Rule.RECOVERY else DURATION_S,
+        gateways=GATEWAYS,
+        order_servers=ORDER_SERVERS,
+        requests_per_s=REQUESTS_PER_S,
+        troubles=troubles,
+        launch=launch,
+        deployment=deployment(),
+    )
+
+
+def play_all(runs: list[Options]) -> list[Verdict]:
+    async def play_at_once() -> list[Verdict]:
+        return [verdict for verdict, _ in await asyncio.gather(*(play(run) for run in runs))]
+
+    return uvloop.run(play_at_once())
+
+
+def test_each_mutant_has_the_rule_that_it_breaks() -> None:
+    assert EXPECTED.keys() == MUTANTS.keys()
+
+
+NAMES = sorted(EXPECTED)
+
+
+@pytest.mark.parametrize("names", [NAMES[n :: len(NAMES) // PARALLEL_RUNS + 1] for n in range(3)], ids=str)
+def test_gateway_broken_on_purpose_is_noticed(names: list[str]) -> None:
+    verdicts = play_all([options(name, EXPECTED[name][1]) for name in names])
+    found = {
+        name: {violation.rule for violation in verdict.violations}
+        for name, verdict in zip(names, verdicts, strict=True)
+    }
+    assert [name for name, rules in found.items() if EXPECTED[name][0] not in rules] == []
+
+
+def test_real_gateway_breaks_no_rule_under_the_troubles_of_the_mutants() -> None:
+    scenarios = sorted({troubles for _, troubles in EXPECTED.values()}, key=str)
+    for verdict in play_all([options(None, troubles) for troubles in scenarios]):
+        assert [violation.text for violation in verdict.violations] == []
