--- a/tests/server/test_discovery.py
+++ b/tests/server/test_discovery.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from qos_gateway.server import discovery_watch
+from qos_gateway.server import discovery, discovery_watch
 from qos_gateway.server.discovery import DiscoveryClient
 from qos_gateway.server.discovery_watch import WatchConnection
 from qos_gateway.server.endpoint_list import EndpointUpdate
-from qos_gateway.server.watch_schedule import INITIAL_BACKOFF_S, MAX_BACKOFF_S
+from qos_gateway.server.watch_schedule import INITIAL_BACKOFF_S, MAX_BACKOFF_S, UPDATE_TIME_S
 from qos_gateway.types import Health, ListKind
 from tests.support.servers import (
     LOOPBACK,
@@ -268,3 +268,25 @@
             assert agent.requests.empty()
 
     run_on_loop(test)
+
+
+def test_silent_watch_after_a_move_is_given_up_before_the_shorter_propagation_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the new agent has binds 4 s after the move, so 5 s of silence are too many there."""
+
+    async def test() -> None:
+        monkeypatch.setattr(discovery, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.2)
+        loop = asyncio.get_running_loop()
+        old, new = FakeDiscovery(), FakeDiscovery()
+        async with listening(old), listening(new):
+            f = Follower(old, 7)
+            await with_timeout(old.requests.get())
+            f.watch.change_agent((LOOPBACK, new.port))
+            await with_timeout(new.requests.get())
+            moved_at = loop.time()
+            await with_timeout(new.requests.get())
+            assert loop.time() - moved_at < discovery_watch.IDLE_TIMEOUT_S / 2
+            await f.watch.close()
+
+    run_on_loop(test)
--- /dev/null
+++ b/tests/server/test_pipelined_deadlines.py
@@ -0,0 +1,44 @@
+"""Deadlines of commands that wait unread behind others on their connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from qos_gateway.server import client_connection
+from qos_gateway.types import Action, Arrival, Reject
+from qos_gateway.units import SECOND
+from tests.support.scripted_engine import script_engine
+from tests.support.servers import call_command, gateway_harness, run_on_loop, wait_until
+
+CLASS_DEADLINE_S = 2.0
+STEP_S = 0.4
+STEPS = 3
+
+
+def test_command_behind_others_keeps_all_the_time_that_it_waited() -> None:
+    """Each reply lets one more command in; those that wait on have waited all the while."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            arrived: list[Arrival] = []
+
+            def hold(arrival: Arrival) -> list[Action]:
+                arrived.append(arrival)
+                return []
+
+            number = client_connection.MAX_PIPELINED + STEPS
+            script_engine(harness, *[hold] * number)
+            loop = asyncio.get_running_loop()
+            passed_s = 0.0
+            harness.gateway.clients.time = lambda: loop.time() + passed_s
+            client = await harness.connect_client()
+            client.send(b"".join(call_command(number=n) for n in range(number)))
+            await wait_until(lambda: len(arrived) == client_connection.MAX_PIPELINED)
+            for step in range(STEPS):
+                passed_s += STEP_S
+                harness.gateway.executor.execute(Reject(arrived[step].request_id, 0))
+                await wait_until(lambda step=step: len(arrived) > client_connection.MAX_PIPELINED + step)  # type: ignore[misc]
+                time_left_s = (arrived[-1].deadline - harness.gateway.clock()) / SECOND
+                assert time_left_s <= CLASS_DEADLINE_S - passed_s
+
+    run_on_loop(test)
