Do not write an attempt whose time ended in the turn in which its connection came up

Cause: a connection that comes up in the same turn of the loop as its attempt's time-out is written to first; the order server is then told 1 ms for a request whose time is over. Change: the check after connecting looks at the attempt's own time, too, as it did at drains and idempotency windows.

--- a/qos_gateway/server/connection_pool.py
+++ b/qos_gateway/server/connection_pool.py
@@ -144,8 +144,12 @@
             self.owner.loop.call_soon(self.owner.connect_failed, attempt)
 
     def _is_too_late(self, attempt: Attempt, now: int) -> bool:
-        """Return whether the drain's grace, or the idempotency window, ended while it connected."""
-        return self._is_grace_over() or 0 < attempt.send_deadline <= now
+        """Return whether the drain's grace, the idempotency window or its time ended while it connected.
+
+        Its time-out may be due in the same turn of the loop, and not have run yet.
+        """
+        is_over = attempt.expires_at <= now or 0 < attempt.send_deadline <= now
+        return is_over or self._is_grace_over()
 
     def _is_grace_over(self) -> bool:
         return self.drain_ends_at is not None and self.owner.loop.time() >= self.drain_ends_at
