Count all the time that a client's command waits unread behind others

Cause: a command past the 32nd of its connection waits until one before it has its reply. Its wait was counted from when the rest was last put back, so each reply began it anew (DeferredInput.put); and bytes that lay in the socket while reading was paused counted as just sent. Order servers were told up to 1.5 s more than the client had left, and answers came up to 2.2 s after its time: lost. Change: data keeps the time at which it was received however often it is put back; what the socket holds when reading is resumed counts from the pause on (FIONREAD tells how many bytes).

--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -9,7 +9,7 @@
 from .backends import FlowControl
 from .client_commands import one_line, serve_command
 from .client_input import CommandReader, CommandSyntaxError, DeferredInput
-from .client_socket import ClientSocketProtocol, has_unread_bytes, untaken_bytes
+from .client_socket import ClientSocketProtocol, has_unread_bytes, unread_bytes, untaken_bytes
 from .close_reasons import CloseReason
 from .logs import RateLimitFilter
 from .pending_replies import PendingReply, ReplyQueue, StreamedReply
@@ -37,9 +37,11 @@
         "_close_reason",
         "_closing",
         "_deferred",
+        "_delayed_bytes",
         "_discarded_bytes",
         "_is_parsing",
         "_owner",
+        "_paused_at",
         "_replies",
         "commands",
         "has_sent_command",
@@ -55,6 +57,8 @@
         self._closing = False
         self._close_reason: CloseReason | None = None  # None while the gateway has not closed it
         self._discarded_bytes = 0  # received while closing
+        self._paused_at = 0.0  # when reading was paused last
+        self._delayed_bytes = 0  # that lay in the socket when reading was resumed, and are not read yet
         self._is_parsing = False  # there may be more behind the command that is being served
         self.has_sent_command = False  # whether a whole command ever came
         self.idle_since = owner.time()  # when it was opened, or became idle last
@@ -107,18 +111,26 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self._update_reading()
         elif self._deferred.data:
-            self._defer(self._deferred.data + data)
+            self._defer(self._deferred.data + data, self._deferred.since)
         else:
-            self._serve_commands(data, 0.0)
+            self._serve_commands(data, self._received_at(len(data)))
 
-    def _serve_commands(self, data: bytes, waited_s: float) -> None:
-        """Serve command by command; each has waited here for so long already."""
+    def _received_at(self, size: int) -> float:
+        """Return when the bytes read now have come, at the earliest: some waited while reading was paused."""
+        if self._delayed_bytes <= 0:
+            return self._owner.time()
+        self._delayed_bytes -= size
+        return self._paused_at
+
+    def _serve_commands(self, data: bytes, received_at: float) -> None:
+        """Serve command by command; each has waited here since the data was received."""
         position = 0
+        waited_s = self._owner.time() - received_at
         self._is_parsing = True
         try:
             while position < len(data) and not self._closing:
                 if len(self._replies.pending) >= MAX_PIPELINED or self.blocked:
-                    self._defer(data[position:])
+                    self._defer(data[position:], received_at)
                     break
                 arguments = self.commands.next_command(data, position)
                 if arguments is None:
@@ -135,17 +147,16 @@
         if self._owner.closing and self.is_idle():
             self.close(CloseReason.DRAINED)
 
-    def _defer(self, data: bytes) -> None:
+    def _defer(self, data: bytes, received_at: float) -> None:
         """Keep what may not be taken yet, and read no more; fail where all clients together sent too much."""
-        if self._deferred.put(data):
+        if self._deferred.put(data, received_at):
             self._update_reading()
         else:
             self.fail("too many commands at once")
 
     def _resume_serving(self) -> None:
         if self._deferred.data and not self._closing and not self._transport.is_closing():
-            waited_s = self._owner.time() - self._deferred.since
-            self._serve_commands(self._deferred.take(), waited_s)
+            self._serve_commands(self._deferred.take(), self._deferred.since)
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -156,6 +167,10 @@
             may_read = not (self._deferred.data or self.blocked)
         if self.set_reading(may_read):
             self._owner.hangup_monitor.set_watched(self, not may_read)
+            if may_read:
+                self._delayed_bytes = unread_bytes(self._transport)
+            else:
+                self._paused_at = self._owner.time()
 
     # Output.
 
--- a/qos_gateway/server/client_input.py
+++ b/qos_gateway/server/client_input.py
@@ -63,15 +63,14 @@
     def __init__(self, owner: ClientConnections) -> None:
         self._owner = owner
         self.data = b""
-        self.since = 0.0  # when the data began to wait
+        self.since = 0.0  # when the first of the data was received, however often it was put back
 
-    def put(self, data: bytes) -> bool:
+    def put(self, data: bytes, received_at: float) -> bool:
         """Keep these bytes in place of those kept so far.
 
         Return False, and keep none, where all connections together would hold too many.
         """
-        if not self.data:
-            self.since = self._owner.time()
+        self.since = received_at
         self._owner.deferred_bytes += len(data) - len(self.data)
         self.data = data
         if self._owner.deferred_bytes > self._owner.buffer_memory:
--- a/qos_gateway/server/client_socket.py
+++ b/qos_gateway/server/client_socket.py
@@ -21,7 +21,12 @@
 
 def has_unread_bytes(transport: asyncio.Transport) -> bool:
     """Return whether the open socket holds bytes that the event loop has not read."""
-    return _queued_bytes(transport, termios.FIONREAD) != 0
+    return unread_bytes(transport) != 0
+
+
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes the open socket holds that the event loop has not read."""
+    return _queued_bytes(transport, termios.FIONREAD)
 
 
 def untaken_bytes(transport: asyncio.Transport) -> int:
--- a/tests/server/test_pipelined_deadlines.py
+++ b/tests/server/test_pipelined_deadlines.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from qos_gateway.server import client_connection
+from qos_gateway.server.client_socket import has_unread_bytes
 from qos_gateway.types import Action, Arrival, Reject
 from qos_gateway.units import SECOND
 from tests.support.scripted_engine import script_engine
@@ -42,3 +43,37 @@
                 assert time_left_s <= CLASS_DEADLINE_S - passed_s
 
     run_on_loop(test)
+
+
+def test_bytes_that_lay_in_the_socket_while_reading_was_paused_have_waited_as_long() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            arrived: list[Arrival] = []
+
+            def hold(arrival: Arrival) -> list[Action]:
+                arrived.append(arrival)
+                return []
+
+            most = client_connection.MAX_PIPELINED
+            script_engine(harness, *[hold] * (most + 3))
+            loop = asyncio.get_running_loop()
+            passed_s = 0.0
+            harness.gateway.clients.time = lambda: loop.time() + passed_s
+            client = await harness.connect_client()
+            client.send(b"".join(call_command(number=n) for n in range(most + 1)))
+            await wait_until(lambda: len(arrived) == most)
+            client.send(call_command(number=most + 1))  # while the one before it waits, and nothing is read
+            connection = harness.gateway.clients.connections()[0]
+            await wait_until(lambda: has_unread_bytes(connection._transport))
+            passed_s += STEP_S
+            for request in arrived[:2]:
+                harness.gateway.executor.execute(Reject(request.request_id, 0))
+            await wait_until(lambda: len(arrived) == most + 2)
+            assert (arrived[-1].deadline - harness.gateway.clock()) / SECOND <= CLASS_DEADLINE_S - passed_s
+            harness.gateway.executor.execute(Reject(arrived[2].request_id, 0))
+            client.send(call_command(number=most + 2))  # read as it comes: its time is whole
+            await wait_until(lambda: len(arrived) == most + 3)
+            time_left_s = (arrived[-1].deadline - harness.gateway.clock()) / SECOND
+            assert time_left_s > CLASS_DEADLINE_S - passed_s
+
+    run_on_loop(test)
