Try again what fails for a moment at the start and at a reload

Cause: a call that fails for a moment (ENFILE, EMFILE, ENOBUFS, ENOMEM, EIO) was taken for a wrong setting. One failed open() at SIGHUP lost the reload for good, and with it every later change of the list. Change: transient_errors.py says which errors pass by themselves; the listening socket, the peers' socket and the file are tried again for 5 s at the start, a reload for 10 s, the admin API until it listens. A missing file, one that is no JSON, or wrong values still end the start at once. The same elsewhere: the handover's sockets were made outside of what catches errors, so that their failure ended the start as well.

--- a/qos_gateway/__main__.py
+++ b/qos_gateway/__main__.py
@@ -14,7 +14,8 @@
 import uvloop
 
 from . import LOADING_STARTED_AT_S
-from .server.config import Config, ConfigError, load, reload
+from .server.config import Config, ConfigError
+from .server.config_reload import ConfigReloader, load_at_start
 from .server.gateway import GatewayProcess
 
 EXIT_CONFIG_ERROR = 2
@@ -38,7 +39,8 @@
         loop.add_signal_handler(stop_signal, stop.set)
     configured_at_s = time.monotonic()
     gateway = GatewayProcess(config)
-    loop.add_signal_handler(signal.SIGHUP, reload_configuration, gateway)
+    reloader = ConfigReloader(gateway.reconfigure)
+    loop.add_signal_handler(signal.SIGHUP, reloader.request)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, RELOAD_SIGNALS)
     try:
         await gateway.start()
@@ -51,20 +53,11 @@
     await stop.wait()
     log.info("stopping name=%s", config.name)
     await gateway.stop()
+    reloader.close()
     # The loop takes its handlers along when it closes.
     signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS)
 
 
-def reload_configuration(gateway: GatewayProcess) -> None:
-    """Read the configuration again; one that cannot be used changes nothing."""
-    try:
-        config = reload(os.environ)
-    except ConfigError as error:
-        log.error("configuration_invalid kept=previous error=%s", error)  # noqa: TRY400  # no fault of ours
-    else:
-        gateway.reconfigure(config)
-
-
 def log_start(gateway: GatewayProcess, loaded_at_s: float, configured_at_s: float) -> None:
     """Write the parts of the time from the start of the program until clients are served."""
     now_s = time.monotonic()
@@ -95,7 +88,7 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
         logging.getLogger().setLevel(log_level(os.environ))
-        uvloop.run(serve(load(os.environ), loaded_at_s))
+        uvloop.run(serve(load_at_start(os.environ), loaded_at_s))
     except ConfigError as error:
         print(f"qos_gateway: {error}", file=sys.stderr)
         return EXIT_CONFIG_ERROR
--- a/qos_gateway/server/admin.py
+++ b/qos_gateway/server/admin.py
@@ -12,6 +12,7 @@
 from .admin_routes import AdminHandler, find_route
 from .config import Address
 from .logs import RateLimitFilter
+from .transient_errors import is_transient
 
 log = logging.getLogger(__name__)
 log.addFilter(RateLimitFilter())
@@ -41,7 +42,7 @@
         except OSError as error:
             # An address in use is expected, so no traceback.
             log.error("admin_listen_failed address=%s:%d error=%s", *self._address, error)  # noqa: TRY400
-            if error.errno == errno.EADDRINUSE:
+            if error.errno == errno.EADDRINUSE or is_transient(error):
                 self._spawn(self._retry_listening())
 
     def close(self) -> None:
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Iterator
 from typing import Protocol, cast
 
@@ -17,6 +18,7 @@
 from .listener import Listener, bound_socket, inherited_socket
 from .pending_replies import PendingReply
 from .request_parser import ClientRequest, RequestParser
+from .transient_errors import retry_transient
 
 CHECK_INTERVAL_S = 0.25  # between two looks at all connections for those past their time-outs
 SCARCE_FRACTION = 0.75  # of the limit on connections, above which they are scarce
@@ -88,10 +90,13 @@
             sock = inherited_socket(self._inherited_descriptor)
         if sock is None:
             self._inherited_descriptor = None
-            sock = bound_socket(self._address)
+            sock = await retry_transient(self._bind)
         self._listener = Listener(sock, lambda: ClientConnection(self), self._has_capacity)
         self._schedule_timeout_check()
 
+    async def _bind(self) -> socket.socket:
+        return bound_socket(self._address)
+
     @property
     def port(self) -> int:
         """The port that clients connect to."""
--- a/qos_gateway/server/config.py
+++ b/qos_gateway/server/config.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from .config_environment import CONFIG_PATH, config_path, without_discovery
-from .config_json import ConfigError, flatten, read_object
+from .config_json import ConfigError, ConfigUnreadableError, flatten, read_object
 from .config_parser import MAX_LEASE_S, MIN_LEASE_S, address, parse
 from .config_types import Address, Config, needs_restart
 
@@ -15,6 +15,7 @@
     "Address",
     "Config",
     "ConfigError",
+    "ConfigUnreadableError",
     "address",
     "flatten",
     "load",
--- a/qos_gateway/server/config_json.py
+++ b/qos_gateway/server/config_json.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any, TypeAlias, cast
 
+from .transient_errors import is_transient
+
 JsonObject: TypeAlias = dict[str, Any]
 """A JSON object whose values have not been checked."""
 
@@ -15,6 +17,15 @@
     """Report a configuration that the gateway cannot start with; the text says what is wrong."""
 
 
+class ConfigUnreadableError(ConfigError):
+    """Report a file that cannot be read, or is no JSON: it may be being written just now."""
+
+    def __init__(self, text: str, is_transient: bool) -> None:
+        """Take whether the file may be read soon with nothing changed by anyone."""
+        super().__init__(text)
+        self.is_transient = is_transient
+
+
 class JsonSection:
     """An object of the configuration whose look-ups name the key when they fail."""
 
@@ -53,8 +64,10 @@
     """Return the JSON object in a file; raises `ConfigError`, with `source` as what named the file."""
     try:
         raw = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{source}: {error}") from None
+    except OSError as error:
+        raise ConfigUnreadableError(f"{source}: {error}", is_transient(error)) from None
+    except ValueError as error:
+        raise ConfigUnreadableError(f"{source}: {error}", is_transient=False) from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{source}: not a JSON object")
     return raw
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -31,6 +31,7 @@
 from .request_table import RequestTable
 from .send_guard import SendGuard
 from .start_guard import check_start, check_stop
+from .transient_errors import retry_transient
 
 log = logging.getLogger(__name__)
 
@@ -163,8 +164,7 @@
         """
         config = self.config
         if config.peer_listen is not None and config.settings.may_message:
-            loop = asyncio.get_running_loop()
-            await loop.create_datagram_endpoint(lambda: self.peers, local_addr=config.peer_listen)
+            await retry_transient(self._listen_to_peers)
         if self.admin_server is not None:
             await self.admin_server.start()
         self.discovery.start()
@@ -182,6 +182,10 @@
             await self.handover_channel.listen()
         log.info("listening on=%s:%d", config.listen[0], self.clients.port)
 
+    async def _listen_to_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+
     async def stop(self) -> None:
         """Answer all that was taken in, then close everything."""
         settings = self.config.settings
--- a/qos_gateway/server/handover_channel.py
+++ b/qos_gateway/server/handover_channel.py
@@ -137,6 +137,11 @@
             self._transport.abort()
 
 
+def _close(sock: socket.socket | None) -> None:
+    if sock is not None:
+        sock.close()
+
+
 class HandoverChannel:
     """The shared socket, under the gateway's name in the folder that its processes share."""
 
@@ -172,15 +177,16 @@
 
     def _connect(self) -> socket.socket | None:
         """Return a socket connected to the process that serves; None if there is none, the usual start."""
-        sock = socket.socket(socket.AF_UNIX)
-        sock.setblocking(False)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_UNIX)
+            sock.setblocking(False)
             self._with_short_path(self._file_name, sock.connect)
         except (FileNotFoundError, ConnectionRefusedError):
-            sock.close()
+            _close(sock)
             return None
         except OSError as error:
-            sock.close()
+            _close(sock)
             log.error("handover_unreachable error=%s", error)  # noqa: TRY400  # the file system's fault
             return None
         return sock
@@ -188,16 +194,17 @@
     async def listen(self) -> None:
         """Be the process that the next one asks; a socket there already is replaced in one step."""
         new_name = f"{self._file_name}.{os.getpid()}"
-        sock = socket.socket(socket.AF_UNIX)
-        sock.setblocking(False)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_UNIX)
+            sock.setblocking(False)
             (self._folder / new_name).unlink(missing_ok=True)
             self._with_short_path(new_name, sock.bind)
             sock.listen(LISTEN_BACKLOG)
             (self._folder / new_name).replace(self._folder / self._file_name)
             self._server = await self.loop.create_unix_server(lambda: HandoverConnection(self), sock=sock)
         except OSError as error:
-            sock.close()
+            _close(sock)
             log.error("handover_listen_failed error=%s", error)  # noqa: TRY400  # the file system's fault
 
     def _with_short_path(self, file_name: str, use: Callable[[str], None]) -> None:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -147,7 +147,7 @@
         config = load(environment)
         return replace(config, settings=replace(config.settings, **changes))
 
-    _patch(program, "load", load_changed)
+    _patch(program, "load_at_start", load_changed)
 
 
 def ignore_drains() -> None:
--- a/tests/server/test_momentary_failures.py
+++ b/tests/server/test_momentary_failures.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import json
 import os
 import signal
 import socket
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from qos_gateway.server import admin, config_reload
+from qos_gateway.server.admin import AdminServer
+from qos_gateway.server.config import ConfigUnreadableError
+from qos_gateway.server.config_reload import ConfigReloader, load_at_start
 from qos_gateway.server.gateway import GatewayProcess
+from qos_gateway.server.handover_channel import HandoverChannel
+from qos_gateway.server.transient_errors import RETRY_INTERVAL_S
+from tests.server.test_admin import FakeAdminHandler
 from tests.server.test_process import running
 from tests.support.servers import (
     FakeBackend,
@@ -23,6 +32,7 @@
     make_config,
     raw_config,
     run_on_loop,
+    wait_until,
     with_timeout,
 )
 
@@ -69,3 +79,108 @@
             gateway.clients.abort()
 
     run_on_loop(test)
+
+
+def test_start_waits_for_a_configuration_that_cannot_be_read_for_a_moment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw_config(1)))
+    failures = [errno.ENFILE, errno.EIO]
+    read_bytes = Path.read_bytes
+
+    def fail_for_a_moment(self: Path) -> bytes:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        return read_bytes(self)
+
+    monkeypatch.setattr(Path, "read_bytes", fail_for_a_moment)
+    assert load_at_start({"ROUTER_CONFIG": str(path)}).name == "n0"
+
+
+@pytest.mark.parametrize("content", [None, '{"name": '])
+def test_start_does_not_wait_for_a_configuration_that_is_missing_or_broken(
+    tmp_path: Path, content: str | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "config.json"
+    if content is not None:
+        path.write_text(content)
+    monkeypatch.setattr(time, "sleep", None)
+    with pytest.raises(ConfigUnreadableError):
+        load_at_start({"ROUTER_CONFIG": str(path)})
+
+
+def test_wrong_values_are_reported_once_and_not_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text("{}")
+    monkeypatch.setenv("ROUTER_CONFIG", str(path))
+
+    async def test() -> None:
+        taken: list[Any] = []
+        reloader = ConfigReloader(taken.append)
+        reloader.request()
+        path.write_text(json.dumps(raw_config(1)))
+        await asyncio.sleep(3 * RETRY_INTERVAL_S)
+        assert taken == []
+        assert caplog.text.count("configuration_invalid") == 1
+        reloader.request()
+        assert len(taken) == 1
+
+    run_on_loop(test)
+
+
+def test_reload_of_a_file_that_stays_unreadable_is_given_up_and_said(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(config_reload, "RELOAD_RETRY_TIME_S", 0.1)
+    monkeypatch.setenv("ROUTER_CONFIG", str(tmp_path / "missing.json"))
+
+    async def test() -> None:
+        taken: list[Any] = []
+        ConfigReloader(taken.append).request()
+        await wait_until(lambda: "configuration_given_up kept=previous" in caplog.text)
+        assert taken == []
+
+    run_on_loop(test)
+
+
+def test_admin_api_is_listened_for_again_where_no_socket_can_be_had(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(admin, "BIND_RETRY_INTERVAL_S", 0.005)
+
+    async def test() -> None:
+        server = AdminServer(("127.0.0.1", 0), FakeAdminHandler())
+        listen = server._listen
+        failures = [errno.ENFILE]
+
+        async def fail_once() -> None:
+            if failures:
+                raise OSError(failures.pop(), "for a moment")
+            await listen()
+
+        monkeypatch.setattr(server, "_listen", fail_once)
+        await server.start()
+        await wait_until(lambda: server._server is not None)
+        server.close()
+
+    run_on_loop(test)
+
+
+def test_start_goes_on_without_the_other_process_where_no_socket_can_be_had(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        channel = HandoverChannel(str(tmp_path), "n0", None)  # type: ignore[arg-type]
+
+        def fail(*_: Any) -> None:
+            raise OSError(errno.ENFILE, "for a moment")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", fail)
+            assert await channel.request_state() is None
+            await channel.listen()
+        assert "handover_unreachable" in caplog.text
+        assert "handover_listen_failed" in caplog.text
+
+    run_on_loop(test)
--- a/tests/server/test_pipelined_deadlines.py
+++ b/tests/server/test_pipelined_deadlines.py
@@ -38,7 +38,8 @@
             for step in range(STEPS):
                 passed_s += STEP_S
                 harness.gateway.executor.execute(Reject(arrived[step].request_id, 0))
-                await wait_until(lambda step=step: len(arrived) > client_connection.MAX_PIPELINED + step)  # type: ignore[misc]
+                wanted = client_connection.MAX_PIPELINED + step + 1
+                await wait_until(lambda wanted=wanted: len(arrived) == wanted)  # type: ignore[misc]
                 time_left_s = (arrived[-1].deadline - harness.gateway.clock()) / SECOND
                 assert time_left_s <= CLASS_DEADLINE_S - passed_s
 
