Give up a silent watch in time for the deadline after a move of discovery

Cause: what the new discovery has binds 4 s after SIGHUP, but a watch there that never answers was given up after 5 s of silence, the time between two missed heartbeats. Change: the time until a call's first data is bounded by when the next call must begin (3.4 s after a move).

--- a/qos_gateway/server/discovery_watch.py
+++ b/qos_gateway/server/discovery_watch.py
@@ -6,6 +6,7 @@
 import logging
 import select
 from collections.abc import Callable
+from math import inf
 from typing import Any, cast
 
 import h11
@@ -34,13 +35,21 @@
     complete object or an empty line, None if it never did.
     """
 
-    def __init__(self, host: str, version: int | None, on_object: Callable[[Any], None]) -> None:
+    def __init__(
+        self,
+        host: str,
+        version: int | None,
+        on_object: Callable[[Any], None],
+        response_time_s: float = inf,
+    ) -> None:
+        """Take `response_time_s` as the longest time until the first data, where it is under the usual."""
         self._loop = asyncio.get_running_loop()
         self._host = host
         self._version = version
         self._http = h11.Connection(h11.CLIENT)
         self._reader = JsonObjectReader(on_object)
         self._last_data_at = self._loop.time()
+        self._idle_timeout_s = min(IDLE_TIMEOUT_S, response_time_s)
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self.ended: asyncio.Future[None] = self._loop.create_future()
@@ -68,7 +77,7 @@
 
     def _check_idle(self) -> None:
         """End the watch if nothing came for too long: a machine that is gone closes no connection."""
-        time_left_s = self._last_data_at + IDLE_TIMEOUT_S - self._loop.time()
+        time_left_s = self._last_data_at + self._idle_timeout_s - self._loop.time()
         if time_left_s <= 0:
             self._finish("idle_timeout")
         else:
@@ -101,6 +110,7 @@
 
     def _read_body(self, data: bytes) -> None:
         self._last_data_at = self._loop.time()  # a head with no body behind it counts as idle
+        self._idle_timeout_s = IDLE_TIMEOUT_S
         for line in self._reader.split_lines(data):
             self._reader.read_line(line)
             if self._reader.is_between_objects():
--- a/qos_gateway/server/watch_schedule.py
+++ b/qos_gateway/server/watch_schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from math import inf
 
 INITIAL_BACKOFF_S = 0.05  # between watches; it doubles with each that fails, and a good one resets it
 MAX_BACKOFF_S = 2.0
@@ -36,6 +37,12 @@
         self._backoff_s = INITIAL_BACKOFF_S
         self._call_due_at = at + deadline_s - UPDATE_TIME_S
 
+    def response_time_s(self, now: float) -> float:
+        """Return how long a call that begins now may stay without data: the next one has to begin in time."""
+        if self._call_due_at is None:
+            return inf
+        return max(INITIAL_BACKOFF_S, self._call_due_at - now)
+
     def delay_after_disconnect(self) -> float:
         """Return the wait after a watch that had been up to date."""
         # Jitter, or gateways whose agents failed together would reconnect together.
