Keep what was gone or draining so when an older list comes from a lagging agent

Cause: after a move to an agent that lags, its older whole list is followed. Endpoints that the newer list had told to drain stayed so, but not those it had left out, those of the configuration's list or of the process before; and changes between the older and the newer version were taken as they came. The handover passed the older state on. Change: the newest version told and what it lists are kept beside the version that is followed; until that is passed, nothing it had draining or gone comes back unless it has started again. The list handed over says so as well.

--- a/qos_gateway/server/discovery.py
+++ b/qos_gateway/server/discovery.py
@@ -79,10 +79,14 @@
         """Return the list in discovery's form; None if there was none yet."""
         return self._list.snapshot()
 
+    def note_known(self, update: EndpointUpdate) -> None:
+        """Go on from the configuration's list, which is in force already."""
+        self._list.note_known(update)
+
     def adopt_list(self, raw: dict[str, Any]) -> EndpointUpdate:
-        """Go on from the list of the previous process, and return it; raises `ListError`."""
+        """Go on from a list that was known before, and return it; raises `ListError`."""
         update = parse_update(raw, self._zones, self._machine_classes, cached=True)
-        self._list.adopt(raw, update.topology.version)
+        self._list.store(raw, update)
         return update
 
     async def _run(self) -> None:
--- a/qos_gateway/server/endpoint_feed.py
+++ b/qos_gateway/server/endpoint_feed.py
@@ -41,8 +41,8 @@
         self.apply(update)
         self._received.set()
 
-    def apply_cached(self, config: Config) -> int | None:
-        """Take in the list of the configuration and return its version; None without one to go by."""
+    def apply_cached(self, config: Config) -> EndpointUpdate | None:
+        """Take in the list of the configuration and return it; None without one to go by."""
         if config.cached_list is not None:
             try:
                 update = parse_update(config.cached_list, config.zones, config.machine_classes, cached=True)
@@ -50,7 +50,7 @@
             except ListError as error:
                 log.warning("known_list_invalid error=%s", error)
             else:
-                return update.topology.version
+                return update
         self._dispatcher.handle(Topology(ListKind.CACHED, 0, ()))
         return None
 
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -17,7 +17,7 @@
 from .close_guard import CloseGuard
 from .config import Config, needs_restart
 from .counter import CounterClient
-from .discovery import DiscoveryClient
+from .discovery import DiscoveryClient, EndpointUpdate
 from .endpoint_feed import EndpointFeed
 from .endpoint_registry import EndpointRegistry
 from .event_dispatcher import EventDispatcher
@@ -114,16 +114,19 @@
         probe_timeout = self.config.connect_timeout if self.config.settings.may_probe else None
         return ActionExecutor(targets, self.dispatcher, self.clock, probe_timeout)
 
-    def _build_discovery(self, cached_version: int | None) -> DiscoveryClient:
+    def _build_discovery(self, cached: EndpointUpdate | None) -> DiscoveryClient:
         config = self.config
-        return DiscoveryClient(
+        client = DiscoveryClient(
             config.discovery,
             config.zones,
             config.machine_classes,
-            cached_version,
+            None if cached is None else cached.topology.version,
             self.endpoint_feed.on_update,
             config.settings.drain_grace / SECOND,
         )
+        if cached is not None:
+            client.note_known(cached)
+        return client
 
     def _build_handover(self) -> Handover:
         parts = SharedParts(self.clients, self.backends, self.discovery, self.endpoints)
--- a/tests/server/test_discovery.py
+++ b/tests/server/test_discovery.py
@@ -11,7 +11,7 @@
 from qos_gateway.server import discovery, discovery_watch
 from qos_gateway.server.discovery import DiscoveryClient
 from qos_gateway.server.discovery_watch import WatchConnection
-from qos_gateway.server.endpoint_list import EndpointUpdate
+from qos_gateway.server.endpoint_list import EndpointUpdate, parse_update
 from qos_gateway.server.watch_schedule import INITIAL_BACKOFF_S, MAX_BACKOFF_S, UPDATE_TIME_S
 from qos_gateway.types import Health, ListKind
 from tests.support.servers import (
@@ -35,7 +35,7 @@
         self.updates: asyncio.Queue[EndpointUpdate] = asyncio.Queue()
         self.watch = DiscoveryClient((LOOPBACK, agent.port), ZONES, KINDS, index, self.updates.put_nowait)
         if known is not None:
-            self.watch.adopt_list(known)
+            self.watch.note_known(parse_update(known, ZONES, KINDS, cached=True))
         self.watch.start()
 
     async def next(self) -> EndpointUpdate:
@@ -319,16 +319,17 @@
             listed = [endpoint_entry(f"s-{n}", n) for n in (1, 2, 3)]
             new.send_update(endpoint_list(39, *listed, endpoint_entry("s-4", 4, born_ms=9)))
             topology = (await f.next()).topology
-            # s-4 has started again since it was seen to be left out, so that does not hold any more.
-            last = Health.READY if known_by == "whole list" else Health.DRAINING
-            expected = [Health.READY, Health.DRAINING, Health.DRAINING, last]
-            assert [e.health for e in topology.entries] == expected
+            # Where s-3 was never seen nobody knows that it is gone; s-4 has started again since.
+            seen = known_by == "whole list"
+            gone = Health.DRAINING if seen else Health.READY
+            assert [e.health for e in topology.entries] == [Health.READY, Health.DRAINING, gone, Health.READY]
             # Nor do changes from before the newest list bring anything back.
             new.send_update(endpoint_list(40, *(endpoint_entry(f"s-{n}", n) for n in (2, 3)), whole=False))
             topology = (await f.next()).topology
-            assert [e.health for e in topology.entries] == [Health.DRAINING, Health.DRAINING]
+            assert [e.health for e in topology.entries] == [Health.DRAINING, gone]
             hosts = (f.watch.current_list() or {})["hosts"]
-            assert [host["health"] for host in hosts[:3]] == ["in_service", "terminating", "terminating"]
+            last = "terminating" if seen else "in_service"
+            assert [host["health"] for host in hosts[:3]] == ["in_service", "terminating", last]
             new.send_update(
                 endpoint_list(42, endpoint_entry("s-2", 2), endpoint_entry("s-3", 3), whole=False)
             )
