Failing tests: a drain's grace and a process held up, and read commands that are dropped

In its place ..._and_each_is_answered asks for all 301 answers, for the same bound on memory, and for the counts in the metrics.

--- a/tests/server/test_client_connections.py
+++ b/tests/server/test_client_connections.py
@@ -285,22 +285,37 @@
     run_on_loop(test)
 
 
-def test_commands_that_wait_unread_are_bounded_over_all_clients() -> None:
+def test_commands_that_wait_unread_are_bounded_over_all_clients_and_each_is_answered() -> None:
+    """What was read is owed an answer: a connection closed under it would lose its requests."""
+
     async def test() -> None:
         async with gateway_harness() as harness:
             harness.gateway.clients.buffer_memory = 10_000
-            script_engine(harness, *[lambda _a: []] * client_connection.MAX_PIPELINED)
+            most = client_connection.MAX_PIPELINED
+            script_engine(harness, *[lambda _a: []] * (most + 1))
             client = await harness.connect_client()
-            client.send(b"".join(call_command(number=n, wait_ms=60) for n in range(300)))
-            answers = [str(await client.next_message()) for _ in range(client_connection.MAX_PIPELINED)]
-            assert set(answers) == {"ERR out of time"}
-            assert "too many" in str(await client.next_message())
-            assert await client.next_message() is None
+            requests = harness.gateway.requests._requests
+            client.send(b"".join(call_command(number=n, wait_ms=2000) for n in range(300)))
+            await wait_until(lambda: len(requests) == most)
+            client.send(call_command(number=300, wait_ms=2000))  # not read before there is room again
+            answers = [str(await client.next_message()) for _ in range(300)]
+            assert set(answers[:most]) == {"ERR out of time"}
+            assert set(answers[most:]) == {"BUSY"}
+            await wait_until(lambda: len(requests) == 1)
             assert harness.gateway.clients.deferred_bytes == 0
+            assert metric_values(harness)["rejections.load_limit"] == 300 - most
+            assert not harness.gateway.invariants.violations
+            assert str(await client.next_message()) == "ERR out of time"
 
     run_on_loop(test)
 
 
+def metric_values(harness: GatewayHarness) -> dict[str, int]:
+    lines = harness.gateway.operations.render_metrics().decode().splitlines()
+    pairs = (line.removeprefix("edge_router.").rpartition(":") for line in lines)
+    return {name: int(value.partition("|")[0]) for name, _, value in pairs}
+
+
 def test_id_of_an_open_request_is_rejected() -> None:
     async def test() -> None:
         async with gateway_harness() as harness:
--- a/tests/server/test_connection_pool.py
+++ b/tests/server/test_connection_pool.py
@@ -287,3 +287,19 @@
             assert b.pools.open_connections == 0
 
     run_on_loop(test)
+
+
+@pytest.mark.parametrize("grace_s", [0.1, 0.25, 1.0])
+def test_drain_leaves_room_for_a_process_held_up_between_its_clock_and_its_write(grace_s: float) -> None:
+    """A process may be held up for 0.15 s there, and the grace of a drain has to cover that."""
+
+    async def test() -> None:
+        backend = FakeBackend()
+        async with backend_harness(backend, grace=grace_s) as b:
+            pool = b.pools._pools[7]
+            now = b.pools.loop.time()
+            b.pools.set_address(7, None)
+            assert pool.drain_ends_at is not None
+            assert now <= pool.drain_ends_at <= max(now, now + grace_s - 0.15)
+
+    run_on_loop(test)
