Cover a hold-up in a drain's grace, and answer read commands that there is no room for

Cause, first: a connection that comes up late was written to until 0.8 of a drain's grace was over; held up for 0.15 s between its clock and its write, a gateway sends past it. Change: late connections are written to for the grace less 0.17 s. Commands without room are answered with -BUSY, counted as rejected (load_limit), and reading pauses until there is room; a protocol error behind them is answered after them.

--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -28,7 +28,8 @@
 ]
 
 KEEP_ALIVE_FRACTION = 0.5  # of the configured idle time: closed well before the backend does so
-DRAIN_GRACE_FRACTION = 0.8  # of the drain's grace in which a late connection is written to: a loop may lag
+MAX_HOLD_UP_S = 0.15  # for which a process may be held up between reading its clock and writing ...
+HOLD_UP_MARGIN_S = 0.02  # ... and what the loop adds: both come off the grace of a drain
 SWEEP_INTERVAL_S = 1.0  # the period that the keep-alive estimate decays by
 
 AttemptEndedCallback = Callable[[Attempt, Outcome, "bytes | None", LoadReport], None]
@@ -80,7 +81,7 @@
         self.is_wanted = is_wanted
         self.allows_send = allows_send
         self._configured_max_connections = max_connections
-        self._drain_grace_s = drain_grace_s * DRAIN_GRACE_FRACTION
+        self._drain_grace_s = max(0.0, drain_grace_s - MAX_HOLD_UP_S - HOLD_UP_MARGIN_S)
         self._on_attempt_ended = on_attempt_ended
         self._metrics = metrics
         self._pools: dict[int, ConnectionPool] = {}
--- a/qos_gateway/server/client_commands.py
+++ b/qos_gateway/server/client_commands.py
@@ -35,6 +35,17 @@
         pending_reply.client.reply(pending_reply, UNKNOWN_COMMAND_REPLY)
 
 
+def shed_command(owner: ClientConnections, pending_reply: PendingReply, arguments: list[bytes]) -> None:
+    """Reply to a command that there is no room for: a request is rejected, whatever it asks for."""
+    if arguments[0].upper() not in (GET_COMMAND, POST_COMMAND):
+        serve_command(owner, pending_reply, arguments, 0.0)
+        return
+    try:
+        owner.requests.shed(owner.parser.parse(arguments), pending_reply)
+    except InvalidCommandError as error:
+        pending_reply.client.reply(pending_reply, b"-ERR %b\r\n" % one_line(str(error)))
+
+
 def one_line(text: str) -> bytes:
     """Return a text as a part of a RESP error, which ends with its line."""
     return text.encode().replace(b"\r", b" ").replace(b"\n", b" ")
--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .backends import FlowControl
-from .client_commands import one_line, serve_command
+from .client_commands import one_line, serve_command, shed_command
 from .client_input import CommandReader, CommandSyntaxError, DeferredInput
 from .client_socket import ClientSocketProtocol, has_unread_bytes, unread_bytes, untaken_bytes
 from .close_reasons import CloseReason
@@ -129,7 +129,7 @@
         self._is_parsing = True
         try:
             while position < len(data) and not self._closing:
-                if len(self._replies.pending) >= MAX_PIPELINED or self.blocked:
+                if self._is_pipeline_full() or self.blocked:
                     self._defer(data[position:], received_at)
                     break
                 arguments = self.commands.next_command(data, position)
@@ -148,23 +148,41 @@
             self.close(CloseReason.DRAINED)
 
     def _defer(self, data: bytes, received_at: float) -> None:
-        """Keep what may not be taken yet, and read no more; fail where all clients together sent too much."""
-        if self._deferred.put(data, received_at):
-            self._update_reading()
-        else:
-            self.fail("too many commands at once")
+        """Keep what may not be taken yet, and read no more; reject it where all sent too much."""
+        if not self._deferred.put(data, received_at):
+            try:
+                self._shed_commands(data)
+            except CommandSyntaxError as error:
+                self.fail(str(error))
+        self._update_reading()
+
+    def _shed_commands(self, data: bytes) -> None:
+        """Reject the requests in the data, each with its reply: what was read may not be dropped."""
+        position = 0
+        while (arguments := self.commands.next_command(data, position)) is not None:
+            position = self.commands.end
+            pending_reply = PendingReply(self)
+            self._replies.pending.append(pending_reply)
+            shed_command(self._owner, pending_reply, arguments)
+
+    def _is_held_back(self) -> bool:
+        """Return whether there is input that could not be taken, here or unread in the socket."""
+        return bool(self._deferred.data) or not self.is_reading
 
     def _resume_serving(self) -> None:
         if self._deferred.data and not self._closing and not self._transport.is_closing():
             self._serve_commands(self._deferred.take(), self._deferred.since)
         self._update_reading()
 
+    def _is_pipeline_full(self) -> bool:
+        return len(self._replies.pending) >= MAX_PIPELINED
+
     def _update_reading(self) -> None:
         """Read only what can be taken."""
         if self._closing:
             may_read = self._discarded_bytes <= MAX_DISCARDED_BYTES
         else:
-            may_read = not (self._deferred.data or self.blocked)
+            may_read = not (self._deferred.data or self.blocked or self._is_pipeline_full())
         if self.set_reading(may_read):
             self._owner.hangup_monitor.set_watched(self, not may_read)
             if may_read:
@@ -181,13 +199,13 @@
         pending = self._replies.pending
         if pending:
             self._replies.start_next_stream()
-            if self._deferred.data and len(pending) < MAX_PIPELINED:
+            if self._is_held_back() and len(pending) < MAX_PIPELINED:
                 self._owner.call_soon(self._resume_serving)
             return
         self.idle_since = self._owner.time()
         if self._closing:
             self.half_close(self.idle_since)
-        elif self._deferred.data:
+        elif self._is_held_back():
             self._owner.call_soon(self._resume_serving)
         elif self._owner.closing and self.is_idle():
             # The periodic check of a drain would hardly ever find a busy client idle.
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -40,6 +40,9 @@
     def submit(self, request: ClientRequest, pending_reply: PendingReply, waited: float, /) -> None:
         """Take in a request that has waited for so many seconds; raise `InvalidCommandError` to refuse it."""
 
+    def shed(self, request: ClientRequest, pending_reply: PendingReply, /) -> None:
+        """Reject a request without taking it in."""
+
     def client_disconnected(self, number: int) -> None:
         """End a request whose client has left."""
 
--- a/qos_gateway/server/client_socket.py
+++ b/qos_gateway/server/client_socket.py
@@ -113,6 +113,11 @@
         """Return whether the blocked client has taken nothing for as long as the time-out."""
         return self._write_progress.is_stalled(now, untaken_bytes(self._transport), timeout_s)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether what the client sends is read as it comes."""
+        return self._is_reading
+
     def write(self, data: bytes) -> None:
         """Write a part of the reply whose turn it is."""
         if not self._transport.is_closing():
--- a/qos_gateway/server/request_table.py
+++ b/qos_gateway/server/request_table.py
@@ -7,7 +7,7 @@
 from itertools import count
 from typing import Protocol
 
-from ..types import Arrival, ClientDisconnected, Fail, Reject, Settings
+from ..types import Arrival, ClientDisconnected, Fail, Reject, RejectReason, Settings
 from ..units import MILLISECOND, SECOND
 from .backends import Attempt
 from .clients import ClientRequest, InvalidCommandError, PendingReply
@@ -19,6 +19,7 @@
 DEADLINE_MARGIN_NS = 10 * MILLISECOND  # off a client's time: the way to it and back, and a loop that lags
 NO_DEADLINE_NS = 1 << 62  # later than any request ends
 
+REJECTED_ANSWER = b"-BUSY\r\n"
 FAILED_ANSWER = b"-ERR failed\r\n"
 TIMED_OUT_ANSWER = b"-ERR out of time\r\n"
 INTERNAL_FAULT_ANSWER = b"-ERR internal fault\r\n"
@@ -157,6 +158,13 @@
             delay = max(0, deadline - self.clock())
             request.timer = self._loop.call_later(delay / SECOND, self.on_deadline, number)
 
+    def shed(self, call: ClientRequest, slot: PendingReply) -> None:
+        """Reject a request that there is no room for, before the engine sees it."""
+        log_rejection(call.request_id, RejectReason.LOAD_LIMIT, 0)
+        self._metrics.rejections[RejectReason.LOAD_LIMIT] += 1
+        self._metrics.count_request(call.class_index, RequestResult.REJECTED)
+        slot.client.reply(slot, REJECTED_ANSWER)
+
     def client_disconnected(self, number: int) -> None:
         """End a request whose client has left; what has not been written for it never will be."""
         request = self._requests.get(number)
@@ -182,7 +190,7 @@
             self.answer(action.request_id, request, FAILED_ANSWER, RequestResult.FAILED)
             return
         retry_after_ms = -(-action.retry_after // MILLISECOND)
-        answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else b"-BUSY\r\n"
+        answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else REJECTED_ANSWER
         self.answer(action.request_id, request, answer, RequestResult.REJECTED)
 
     def fail(self, action: Fail) -> None:
--- a/tests/server/test_client_connections.py
+++ b/tests/server/test_client_connections.py
@@ -13,6 +13,7 @@
     Arrival,
     ClientDisconnected,
     Reject,
+    RejectReason,
     Send,
 )
 from tests.support.scripted_engine import only_backend, script_engine
@@ -303,17 +304,29 @@
             assert set(answers[most:]) == {"BUSY"}
             await wait_until(lambda: len(requests) == 1)
             assert harness.gateway.clients.deferred_bytes == 0
-            assert metric_values(harness)["rejections.load_limit"] == 300 - most
+            assert harness.gateway.metrics.rejections[RejectReason.LOAD_LIMIT] == 300 - most
             assert not harness.gateway.invariants.violations
             assert str(await client.next_message()) == "ERR out of time"
 
     run_on_loop(test)
 
 
-def metric_values(harness: GatewayHarness) -> dict[str, int]:
-    lines = harness.gateway.operations.render_metrics().decode().splitlines()
-    pairs = (line.removeprefix("edge_router.").rpartition(":") for line in lines)
-    return {name: int(value.partition("|")[0]) for name, _, value in pairs}
+def test_protocol_error_behind_commands_without_room_is_answered_after_them() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            harness.gateway.clients.buffer_memory = 0
+            most = client_connection.MAX_PIPELINED
+            script_engine(harness, *[lambda _a: []] * most)
+            client = await harness.connect_client()
+            commands = [call_command(number=n, wait_ms=60) for n in range(most + 2)]
+            client.send(b"".join(commands) + b"PING\r\n")
+            answers = [str(await client.next_message()) for _ in range(most + 3)]
+            assert set(answers[:most]) == {"ERR out of time"}
+            assert answers[most : most + 2] == ["BUSY", "BUSY"]
+            assert "Protocol error" in answers[-1]
+            assert await client.next_message() is None
+
+    run_on_loop(test)
 
 
 def test_id_of_an_open_request_is_rejected() -> None:
