Accept clients only once all that discovery has sent is read

What the agent has sent binds a process from its first moment. Result: the new test failed before (the list of looks was not used up) and passes.

--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -18,7 +18,7 @@
 from .config import Config, needs_restart
 from .counter import CounterClient
 from .discovery import DiscoveryClient, EndpointUpdate
-from .endpoint_feed import EndpointFeed
+from .endpoint_feed import FIRST_LIST_TIMEOUT_S, SOCKET_POLL_S, EndpointFeed
 from .endpoint_registry import EndpointRegistry
 from .event_dispatcher import EventDispatcher
 from .handover import Handover, SharedParts
@@ -179,12 +179,20 @@
             received = await self.handover_channel.request_state()
             if received is not None:
                 self.handover.restore_state(received, self.endpoint_feed.is_received())
+        await self._read_from_discovery()
         check_start(self.invariants, self.dispatcher.engine.started, self.discovery.has_unread_data())
         await self.clients.start()
         if self.handover_channel is not None:
             await self.handover_channel.listen()
         log.info("listening on=%s:%d", config.listen[0], self.clients.port)
 
+    async def _read_from_discovery(self) -> None:
+        """Let the loop read what discovery has sent: it binds this process from its first request on."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + FIRST_LIST_TIMEOUT_S
+        while self.discovery.has_unread_data() and loop.time() < give_up_at:
+            await asyncio.sleep(SOCKET_POLL_S)
+
     async def _listen_to_peers(self) -> None:
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
--- a/tests/server/test_endpoint_feed.py
+++ b/tests/server/test_endpoint_feed.py
@@ -14,10 +14,13 @@
 from qos_gateway.server.gateway import GatewayProcess
 from tests.support.servers import (
     LOOPBACK,
+    FakeBackend,
+    FakeDiscovery,
     call_command,
     endpoint_entry,
     endpoint_list,
     gateway_harness,
+    listening,
     make_config,
     run_on_loop,
     success_reply,
@@ -130,3 +133,23 @@
             assert endpoint_id("s-1") not in harness.gateway.dispatcher.engine.load_balancer.endpoints
 
     run_on_loop(test)
+
+
+def test_clients_are_accepted_only_once_what_discovery_sent_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A read may fail for a moment, or the list come in the last one before the start."""
+
+    async def test() -> None:
+        discovery, backend = FakeDiscovery(), FakeBackend()
+        async with listening(discovery), listening(backend):
+            discovery.first_update = endpoint_list(1, endpoint_entry("s-1", backend.port))
+            gateway = GatewayProcess(make_config(discovery.port))
+            looks = [True, True, False, False]
+            monkeypatch.setattr(gateway.discovery, "has_unread_data", lambda: looks.pop(0))
+            await with_timeout(gateway.start())
+            assert looks == []
+            assert not gateway.invariants.violations
+            await gateway.discovery.close()
+            gateway.backends.close()
+            gateway.clients.abort()
+
+    run_on_loop(test)
