Soak: upgrades on an inherited socket, with the handover between two processes

Cause: no run of the soak had two processes of one gateway at a time. Change: every third gateway gets its listening socket from the platform; a restart there starts the next process first.

--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -8,6 +8,7 @@
 import random
 import re
 import signal
+import socket
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -26,6 +27,9 @@
 KILL_AFTER_DEADLINE_S = 0.7  # over the longest deadline, after SIGTERM
 MAX_KILL_DEADLINE_S = 3.0  # of which it counts so much at most
 PAUSE_S = 0.14
+INHERITING_EVERY = 3  # gateways: the last of so many gets its listening socket from the platform
+BACKLOG = 256
+FIRST_OF_TWO_ENDS_AFTER_S = 0.2  # of an upgrade, once both processes serve
 AGENT_LAG_S = 1.5
 FRONT_NOTICES_STOP_S = 0.3  # for which new connections still come after SIGTERM
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -66,8 +70,8 @@
         if not self._listening.done():
             self._listening.set_result(0)
 
-    async def wait_until_ready(self) -> None:
-        """Wait until it answers `PING`, or has ended."""
+    async def wait_until_ready(self, pings: bool) -> None:
+        """Wait until it answers `PING`, or only until it listens, or has ended."""
         loop = asyncio.get_running_loop()
         try:
             self.port = await asyncio.wait_for(asyncio.shield(self._listening), READY_TIMEOUT_S)
@@ -76,7 +80,7 @@
         while self.port and self.process.returncode is None:
             if loop.time() - self.seen.started_at > READY_TIMEOUT_S:
                 return
-            if await self._answers_ping():
+            if not pings or await self._answers_ping():
                 self.seen.ready_at = loop.time()
                 self.takes_new_connections = True
                 return
@@ -141,6 +145,10 @@
         self._counter = ""
         self._number = 0
         self._busy = False  # being started or stopped
+        self._listening: socket.socket | None = None  # that the platform holds for its processes
+        if position % INHERITING_EVERY == INHERITING_EVERY - 1:
+            self._listening = socket.create_server((LOCALHOST, 0), backlog=BACKLOG)
+            self._listening.set_inheritable(True)
         self._waiters: set[asyncio.Task[None]] = set()
 
     @property
@@ -174,36 +182,47 @@
         self._path.write_text(self._configuration_text(known))
         seen = ProcessSeen(self.position, self._number, loop.time())
         self._record.processes.append(seen)
+        descriptors = () if self._listening is None else (self._listening.fileno(),)
         process = await asyncio.create_subprocess_exec(
             *self._launch.command,
             stderr=asyncio.subprocess.PIPE,
+            pass_fds=descriptors,
             env={
                 **os.environ,
                 **self._faulty_environment(),
                 "ROUTER_CONFIG": str(self._path),
                 "TMPDIR": str(self._path.parent),
+                "ROUTER_PASSED_SOCKET": "".join(map(str, descriptors)),
             },
         )
-        self.process = GatewayProcess(seen, process, self._log_path)
-        waiter = loop.create_task(self.process.wait())
+        started = GatewayProcess(seen, process, self._log_path)
+        waiter = loop.create_task(started.wait())
         self._waiters.add(waiter)
         waiter.add_done_callback(self._waiters.discard)
-        await self.process.wait_until_ready()
+        if self._listening is None:
+            self.process = started
+        # A ping could be answered by the process before, where both have the socket.
+        await started.wait_until_ready(pings=self._listening is None)
+        self.process = started
 
     async def restart(self) -> None:
-        """End the process by SIGTERM as the platform does, and start the next one."""
+        """End the process by SIGTERM and start the next one, before it where they share the socket."""
         process = self.process
         if self._busy or process is None or not process.is_serving():
             return
         self._busy = True
-        await self.terminate()
-        await self.start(known=True)
+        if self._listening is None:
+            await self.terminate(process)
+            await self.start(known=True)
+        else:
+            await self.start(known=True)
+            await asyncio.sleep(FIRST_OF_TWO_ENDS_AFTER_S)
+            await self.terminate(process)
         self._busy = False
 
-    async def terminate(self) -> None:
+    async def terminate(self, process: GatewayProcess) -> None:
         """Send SIGTERM, and SIGKILL when the platform would."""
-        process = self.process
-        if process is None or process.seen.exited_at is not None:
+        if process.seen.exited_at is not None:
             return
         loop = asyncio.get_running_loop()
         process.seen.terminated_at = loop.time()
@@ -276,6 +295,8 @@
 
     async def close(self) -> None:
         """End what is left."""
+        if self._listening is not None:
+            self._listening.close()
         if self.process is not None:
             self.process.signal(signal.SIGKILL)
             await self.process.wait()
--- a/soak/run.py
+++ b/soak/run.py
@@ -166,7 +166,8 @@
         self.traffic.stop()
         self.record.ends_at = self._loop.time()
         await asyncio.sleep(ANSWERS_AFTER_S)
-        await asyncio.gather(*(gateway.terminate() for gateway in self.gateways))
+        last = [(gateway, gateway.process) for gateway in self.gateways if gateway.process is not None]
+        await asyncio.gather(*(gateway.terminate(process) for gateway, process in last))
 
     # Troubles.
 
