--- a/tests/decisions/test_quota_by_counter.py
+++ b/tests/decisions/test_quota_by_counter.py
@@ -181,3 +181,20 @@
     g.handle(4 * MS, CounterReplied(MS, Outcome.OVERLOADED, back.key, 0.0))
     told = [a for i in range(20) for a in g.handle(i * TICK, TimerFired(TICK_TIMER))]
     assert [a.amount for a in told if isinstance(a, AddToCounter)] == [-IN_FLIGHT_UNIT]
+
+
+def test_correction_that_need_not_be_undone_leaves_no_call_without_a_reply() -> None:
+    """A call that is noted and not made would take the reply of each later call for its own."""
+    g = counting(rate=10.0, burst=20.0)
+    start = 30 * SECOND
+    (call,) = calls(g.handle(start, arrival(1, start)))
+    (fix,) = calls(g.handle(start + MS, CounterReplied(MS, Outcome.OK, call.key, call.amount)))
+    g.handle(start + 80 * MS, CounterReplied(79 * MS, Outcome.RESET, fix.key, 0.0))
+    (again,) = calls(g.handle(start + SECOND, arrival(2, start + SECOND)))
+    total = fix.amount + call.amount + again.amount  # made once only, so nothing is to be undone
+    made = calls(g.handle(start + SECOND + MS, CounterReplied(MS, Outcome.OK, again.key, total)))
+    assert -fix.amount not in [each.amount for each in made]
+    for each in made:
+        total += each.amount
+        g.handle(start + SECOND + 2 * MS, CounterReplied(MS, Outcome.OK, each.key, total))
+    assert g.quota.pending_calls == {}
--- a/tests/server/test_config.py
+++ b/tests/server/test_config.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from qos_gateway.server.config import Config, needs_restart, parse
+from qos_gateway.server.config import Config, ConfigError, needs_restart, parse
 from qos_gateway.server.config_types import CONFIGURATION_KEYS
 from tests.support.servers import raw_config
 
@@ -30,3 +30,10 @@
 ) -> None:
     old = parse(raw_config(1), {})
     assert needs_restart(old, parse(raw_config(1) | change, environment)) == keys
+
+
+def test_number_without_bound_is_named_as_wrong() -> None:
+    raw = raw_config(1)
+    raw["settings"]["limits"]["connectTimeout"] = float("inf")
+    with pytest.raises(ConfigError, match="connectTimeout"):
+        parse(raw, {})
--- a/tests/server/test_endpoint_list.py
+++ b/tests/server/test_endpoint_list.py
@@ -78,3 +78,12 @@
 def test_unreadable_list_is_an_error_not_a_crash(raw: Any) -> None:
     with pytest.raises(ListError):
         parse_update(raw, ZONES, KINDS)
+
+
+@pytest.mark.parametrize("field", ["seq", "block", "born_ms"])
+def test_number_without_bound_is_a_list_that_cannot_be_read(field: str) -> None:
+    """JSON as Python reads it has Infinity; nothing catches the error of its conversion but this."""
+    raw = endpoint_list(1, endpoint_entry("s-1", 1))
+    (raw if field == "seq" else raw["hosts"][0])[field] = float("inf")
+    with pytest.raises(ListError):
+        parse_update(raw, ("a",), ("m1",))
