Note a counter call only where it is made

Cause: CounterQuota._corrections built the call that undoes a doubled correction in any case, which notes it as waiting for a reply, and made it only where one had been doubled. Every later reply for the customer's key was then taken for the call before it, until the key changed after up to 60 s: held requests waited 0.05 s and were decided locally. Change: the call is built only where it is made. Result: the test failed (a correction of 9.0 left waiting) and passes.

--- a/qos_gateway/decisions/quota/counter.py
+++ b/qos_gateway/decisions/quota/counter.py
@@ -132,10 +132,8 @@
         actions: list[Action] = []
         if unconfirmed := account.unconfirmed_correction:
             # Nobody knows whether another gateway made it too: far below an empty bucket, one did.
-            undo = self.call_counter(
-                now, account, -unconfirmed
-            )  # pending from here on, even if it is not made
-            actions += [undo] * (reading.surplus < -account.plan.burst - unconfirmed / 2)
+            if reading.surplus < -account.plan.burst - unconfirmed / 2:
+                actions.append(self.call_counter(now, account, -unconfirmed))
             account.unconfirmed_correction = 0.0
         if call.amount and not granted and (call.reservation or account.excess_pays):
             actions.append(self.call_counter(now, account, -call.amount))
