Take Infinity and NaN in lists and settings for what they are: unreadable

Cause: int() of Infinity raises OverflowError, which neither the list's parser nor the configuration's look-up caught; a start with such a configuration ended with a traceback in place of a plain line. Change: both report the value as wrong; NaN likewise.

--- a/qos_gateway/server/config_json.py
+++ b/qos_gateway/server/config_json.py
@@ -40,7 +40,10 @@
 
     def whole_number(self, key: str) -> int:
         """Return the number under this key, rounded towards zero."""
-        return int(cast(float, self._checked(key, (int, float))))
+        try:
+            return int(cast(float, self._checked(key, (int, float))))
+        except (ValueError, OverflowError):  # NaN and Infinity, which JSON has as Python reads it
+            raise ConfigError(f"{self._prefix}{key}: not a whole number") from None
 
     def strings(self, key: str) -> tuple[str, ...]:
         """Return the items of the list under this key."""
--- a/qos_gateway/server/endpoint_list.py
+++ b/qos_gateway/server/endpoint_list.py
@@ -49,7 +49,7 @@
                 addresses[entry.id] = address(host["dial"], "dial")
             entries.append(entry)
         return EndpointUpdate(Topology(kind, int(raw["seq"]), tuple(entries)), addresses)
-    except (AttributeError, KeyError, TypeError, ValueError, ConfigError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError, ConfigError) as error:
         raise ListError(f"{type(error).__name__}: {error}") from None
 
 
