Soak: an order server that is down keeps its port

Change: the listening socket is shut down and listens again later; it is bound by number, as only such a port stays taken.

--- a/soak/order_servers.py
+++ b/soak/order_servers.py
@@ -111,17 +111,31 @@
 class GatewayListener:
     """Where one gateway reaches a server; it can stop accepting so that connections come up late."""
 
-    def __init__(self, factory: Callable[[], asyncio.Protocol], port: int = 0) -> None:
+    def __init__(self, factory: Callable[[], asyncio.Protocol]) -> None:
         self._loop = asyncio.get_running_loop()
         self._factory = factory
         self._tasks: set[asyncio.Task[None]] = set()
         self._fillers: list[socket.socket] = []
         self._sock = socket.socket()
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
-        self._sock.bind((LOCALHOST, port))
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.port = self._bind()
+
+    def _bind(self) -> int:
+        """Bind to a free port by its number: only such a port stays taken while nothing listens."""
+        while True:
+            with socket.socket() as probe:
+                probe.bind((LOCALHOST, 0))
+                port = int(probe.getsockname()[1])
+            try:
+                self._sock.bind((LOCALHOST, port))
+            except OSError:
+                continue  # taken in between
+            return port
+
+    def listen(self) -> None:
+        """Accept connections, for the first time or again."""
         self._sock.listen(BACKLOG)
-        self.port = int(self._sock.getsockname()[1])
         self._loop.add_reader(self._sock.fileno(), self._accept)
 
     def _accept(self) -> None:
@@ -166,10 +180,14 @@
         self._sock.listen(BACKLOG)
         self._loop.add_reader(self._sock.fileno(), self._accept)
 
-    def close(self) -> None:
-        """Refuse connections from now on."""
+    def refuse(self) -> None:
+        """Refuse connections until it listens again; the port stays taken meanwhile."""
         self.resume_accepting()
         self._loop.remove_reader(self._sock.fileno())
+        self._sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Give the port back."""
         self._sock.close()
 
 
@@ -192,8 +210,10 @@
         self._record = record
         self._rng = rng
         self._faults: dict[TroubleKind, float] = {}  # until when
-        self._ports = [0] * deployment.gateways
-        self._listeners: list[GatewayListener] = []
+        self._listeners = [
+            GatewayListener(lambda gateway=gateway: ServerConnection(self, gateway))  # type: ignore[misc]
+            for gateway in range(deployment.gateways)
+        ]
         self._held: list[Callable[[], None]] = []  # responses that a hang keeps back
         self.is_up = False
 
@@ -201,26 +221,31 @@
 
     def start(self) -> None:
         """Listen at the same addresses as before."""
-        for gateway, port in enumerate(self._ports):
-            listener = GatewayListener(lambda gateway=gateway: ServerConnection(self, gateway), port)  # type: ignore[misc]
-            self._ports[gateway] = listener.port
-            self._listeners.append(listener)
+        for listener in self._listeners:
+            listener.listen()
         self.is_up = True
 
     def stop(self) -> None:
         """End at once: connections are reset, and new ones refused."""
+        if not self.is_up:
+            return
         self.is_up = False
         for listener in self._listeners:
-            listener.close()
-        self._listeners.clear()
+            listener.refuse()
         for connection in list(self.connections):
             connection.abort()
         self._held.clear()
         self._faults.clear()
 
+    def close(self) -> None:
+        """End for good."""
+        self.stop()
+        for listener in self._listeners:
+            listener.close()
+
     def address(self, gateway: int) -> str:
         """Return where a gateway reaches it."""
-        return f"{LOCALHOST}:{self._ports[gateway]}"
+        return f"{LOCALHOST}:{self._listeners[gateway].port}"
 
     # Faults.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -108,7 +108,7 @@
                 await gateway.close()
             self.counter.close()
             for server in self.servers:
-                server.stop()
+                server.close()
         self._note_deadlines()
         return judge(self.deployment, self.record)
 
@@ -207,7 +207,8 @@
             return
         server.stop()
         await asyncio.sleep(duration_s)
-        self._restart(server)
+        if not server.is_up:
+            self._restart(server)
 
     def _restart(self, server: OrderServer) -> None:
         server.born_at, server.began_at = time.time(), self._loop.time()
