--- a/soak/faulty_calls.c
+++ b/soak/faulty_calls.c
@@ -70,14 +70,15 @@
 #define ONE_OF(...) one_of((const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
 #define NEXT(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
+/* Only sockets of the network: the log's may be a blocking one, which never finds no room. */
 static int is_socket(int fd)
 {
-    int type;
-    socklen_t size = sizeof type;
+    int domain;
+    socklen_t size = sizeof domain;
     int saved = errno;
-    int result = getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size);
+    int result = getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size);
     errno = saved;
-    return result == 0 && type == SOCK_STREAM;
+    return result == 0 && domain == AF_INET;
 }
 
 int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags)
