--- a/qos_gateway/__main__.py
+++ b/qos_gateway/__main__.py
@@ -9,14 +9,18 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 
 import uvloop
 
 from . import LOADING_STARTED_AT_S
-from .server.config import Config, ConfigError, load, reload
+from .server.config import Config, ConfigError
+from .server.config_reload import ConfigReloader, load_at_start
 from .server.gateway import GatewayProcess
 
 EXIT_CONFIG_ERROR = 2
+LOG_LEVEL_VARIABLE = "QOS_GATEWAY_LOG_LEVEL"
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 # Blocked wherever no handler is in place: a reload that comes early must not kill the process.
 RELOAD_SIGNALS = {signal.SIGHUP}
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -35,7 +39,8 @@
         loop.add_signal_handler(stop_signal, stop.set)
     configured_at_s = time.monotonic()
     gateway = GatewayProcess(config)
-    loop.add_signal_handler(signal.SIGHUP, reload_configuration, gateway)
+    reloader = ConfigReloader(gateway.reconfigure)
+    loop.add_signal_handler(signal.SIGHUP, reloader.request)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, RELOAD_SIGNALS)
     try:
         await gateway.start()
@@ -48,20 +53,11 @@
     await stop.wait()
     log.info("stopping name=%s", config.name)
     await gateway.stop()
+    reloader.close()
     # The loop takes its handlers along when it closes.
     signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS)
 
 
-def reload_configuration(gateway: GatewayProcess) -> None:
-    """Read the configuration again; one that cannot be used changes nothing."""
-    try:
-        config = reload(os.environ)
-    except ConfigError as error:
-        log.error("configuration_invalid kept=previous error=%s", error)  # noqa: TRY400  # no fault of ours
-    else:
-        gateway.reconfigure(config)
-
-
 def log_start(gateway: GatewayProcess, loaded_at_s: float, configured_at_s: float) -> None:
     """Write the parts of the time from the start of the program until clients are served."""
     now_s = time.monotonic()
@@ -77,13 +73,22 @@
     )
 
 
+def log_level(environment: Mapping[str, str]) -> str:
+    """Return the level that the environment asks for, by default info; raises `ConfigError`."""
+    level = environment.get(LOG_LEVEL_VARIABLE, "info").upper()
+    if level not in LOG_LEVELS:
+        raise ConfigError(f"{LOG_LEVEL_VARIABLE}: {level!r} is none of {', '.join(LOG_LEVELS)}")
+    return level
+
+
 def main() -> int:
     """Run one gateway with the configuration that the environment names; return the exit status."""
     loaded_at_s = time.monotonic()
     signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
-        uvloop.run(serve(load(os.environ), loaded_at_s))
+        logging.getLogger().setLevel(log_level(os.environ))
+        uvloop.run(serve(load_at_start(os.environ), loaded_at_s))
     except ConfigError as error:
         print(f"qos_gateway: {error}", file=sys.stderr)
         return EXIT_CONFIG_ERROR
--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -28,17 +28,23 @@
 ]
 
 KEEP_ALIVE_FRACTION = 0.5  # of the configured idle time: closed well before the backend does so
-DRAIN_GRACE_FRACTION = 0.8  # of the drain's grace in which a late connection is written to: a loop may lag
+MAX_HOLD_UP_S = 0.15  # for which a process may be held up between reading its clock and writing ...
+HOLD_UP_MARGIN_S = 0.02  # ... and what the loop adds: both come off the grace of a drain
 SWEEP_INTERVAL_S = 1.0  # the period that the keep-alive estimate decays by
 
 AttemptEndedCallback = Callable[[Attempt, Outcome, "bytes | None", LoadReport], None]
 IsWantedCallback = Callable[[Attempt], bool]
+AllowsSendCallback = Callable[[Attempt, bool, int], bool]
 
 
 def _always_wanted(_attempt: Attempt) -> bool:
     return True
 
 
+def _always_allowed(_attempt: Attempt, _is_drained: bool, _now: int) -> bool:
+    return True
+
+
 class BackendConnections:
     """All connection pools, bounded together so that descriptors never run out.
 
@@ -56,11 +62,13 @@
         metrics: Metrics,
         on_response_started: ResponseStartedCallback,
         is_wanted: IsWantedCallback = _always_wanted,
+        allows_send: AllowsSendCallback = _always_allowed,
     ) -> None:
         """Start to sweep idle connections; a running event loop is needed.
 
         `on_response_started` gives the sink of a large value, or None where nobody waits for it;
-        `is_wanted` tells whether the client of an attempt about to be written still waits.
+        `is_wanted` tells whether the client of an attempt about to be written still waits, and `allows_send`
+        is the guard that is asked last: given whether the backend is drained, and the time in ns.
         """
         self.loop = asyncio.get_running_loop()
         self.time = self.loop.time
@@ -71,8 +79,9 @@
         self.max_connections = max_connections
         self.response_started = on_response_started
         self.is_wanted = is_wanted
+        self.allows_send = allows_send
         self._configured_max_connections = max_connections
-        self._drain_grace_s = drain_grace_s * DRAIN_GRACE_FRACTION
+        self._drain_grace_s = max(0.0, drain_grace_s - MAX_HOLD_UP_S - HOLD_UP_MARGIN_S)
         self._on_attempt_ended = on_attempt_ended
         self._metrics = metrics
         self._pools: dict[int, ConnectionPool] = {}
@@ -178,6 +187,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.outcome = result.outcome
         attempt.connection = None
         if attempt.timer is not None:
             attempt.timer.cancel()
--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 from .backends import FlowControl
-from .client_commands import one_line, serve_command
+from .client_commands import one_line, serve_command, shed_command
 from .client_input import CommandReader, CommandSyntaxError, DeferredInput
-from .client_socket import ClientSocketProtocol, has_unread_bytes, untaken_bytes
+from .client_socket import ClientSocketProtocol, has_unread_bytes, unread_bytes, untaken_bytes
+from .close_reasons import CloseReason
 from .logs import RateLimitFilter
 from .pending_replies import PendingReply, ReplyQueue, StreamedReply
 
@@ -33,11 +34,14 @@
     """
 
     __slots__ = (
+        "_close_reason",
         "_closing",
         "_deferred",
+        "_delayed_bytes",
         "_discarded_bytes",
         "_is_parsing",
         "_owner",
+        "_paused_at",
         "_replies",
         "commands",
         "has_sent_command",
@@ -51,7 +55,10 @@
         self._deferred = DeferredInput(owner)
         self._replies = ReplyQueue(owner)
         self._closing = False
+        self._close_reason: CloseReason | None = None  # None while the gateway has not closed it
         self._discarded_bytes = 0  # received while closing
+        self._paused_at = 0.0  # when reading was paused last
+        self._delayed_bytes = 0  # that lay in the socket when reading was resumed, and are not read yet
         self._is_parsing = False  # there may be more behind the command that is being served
         self.has_sent_command = False  # whether a whole command ever came
         self.idle_since = owner.time()  # when it was opened, or became idle last
@@ -65,6 +72,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - asyncio names it
         """Report the client's open requests as abandoned."""
+        if self._close_reason is None:
+            self._close_reason = CloseReason.CLIENT_CLOSED
+            self._owner.close_guard.check(self._close_reason, self._replies.unanswered(), False)
+        self._owner.close_guard.connection_ended(self._close_reason)
         self._owner.connection_closed(self)
         self._deferred.take()
         for request_number in self._replies.discard():
@@ -100,18 +111,26 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self._update_reading()
         elif self._deferred.data:
-            self._defer(self._deferred.data + data)
+            self._defer(self._deferred.data + data, self._deferred.since)
         else:
-            self._serve_commands(data, 0.0)
+            self._serve_commands(data, self._received_at(len(data)))
 
-    def _serve_commands(self, data: bytes, waited_s: float) -> None:
-        """Serve command by command; each has waited here for so long already."""
+    def _received_at(self, size: int) -> float:
+        """Return when the bytes read now have come, at the earliest: some waited while reading was paused."""
+        if self._delayed_bytes <= 0:
+            return self._owner.time()
+        self._delayed_bytes -= size
+        return self._paused_at
+
+    def _serve_commands(self, data: bytes, received_at: float) -> None:
+        """Serve command by command; each has waited here since the data was received."""
         position = 0
+        waited_s = self._owner.time() - received_at
         self._is_parsing = True
         try:
             while position < len(data) and not self._closing:
-                if len(self._replies.pending) >= MAX_PIPELINED or self.blocked:
-                    self._defer(data[position:])
+                if self._is_pipeline_full() or self.blocked:
+                    self._defer(data[position:], received_at)
                     break
                 arguments = self.commands.next_command(data, position)
                 if arguments is None:
@@ -126,29 +145,50 @@
         finally:
             self._is_parsing = False
         if self._owner.closing and self.is_idle():
-            self.close()
+            self.close(CloseReason.DRAINED)
+
+    def _defer(self, data: bytes, received_at: float) -> None:
+        """Keep what may not be taken yet, and read no more; reject it where all sent too much."""
+        if not self._deferred.put(data, received_at):
+            try:
+                self._shed_commands(data)
+            except CommandSyntaxError as error:
+                self.fail(str(error))
+        self._update_reading()
 
-    def _defer(self, data: bytes) -> None:
-        """Keep what may not be taken yet, and read no more; fail where all clients together sent too much."""
-        if self._deferred.put(data):
-            self._update_reading()
-        else:
-            self.fail("too many commands at once")
+    def _shed_commands(self, data: bytes) -> None:
+        """Reject the requests in the data, each with its reply: what was read may not be dropped."""
+        position = 0
+        while (arguments := self.commands.next_command(data, position)) is not None:
+            position = self.commands.end
+            pending_reply = PendingReply(self)
+            self._replies.pending.append(pending_reply)
+            shed_command(self._owner, pending_reply, arguments)
+
+    def _is_held_back(self) -> bool:
+        """Return whether there is input that could not be taken, here or unread in the socket."""
+        return bool(self._deferred.data) or not self.is_reading
 
     def _resume_serving(self) -> None:
         if self._deferred.data and not self._closing and not self._transport.is_closing():
-            waited_s = self._owner.time() - self._deferred.since
-            self._serve_commands(self._deferred.take(), waited_s)
+            self._serve_commands(self._deferred.take(), self._deferred.since)
         self._update_reading()
 
+    def _is_pipeline_full(self) -> bool:
+        return len(self._replies.pending) >= MAX_PIPELINED
+
     def _update_reading(self) -> None:
         """Read only what can be taken."""
         if self._closing:
             may_read = self._discarded_bytes <= MAX_DISCARDED_BYTES
         else:
-            may_read = not (self._deferred.data or self.blocked)
+            may_read = not (self._deferred.data or self.blocked or self._is_pipeline_full())
         if self.set_reading(may_read):
             self._owner.hangup_monitor.set_watched(self, not may_read)
+            if may_read:
+                self._delayed_bytes = unread_bytes(self._transport)
+            else:
+                self._paused_at = self._owner.time()
 
     # Output.
 
@@ -159,17 +199,17 @@
         pending = self._replies.pending
         if pending:
             self._replies.start_next_stream()
-            if self._deferred.data and len(pending) < MAX_PIPELINED:
+            if self._is_held_back() and len(pending) < MAX_PIPELINED:
                 self._owner.call_soon(self._resume_serving)
             return
         self.idle_since = self._owner.time()
         if self._closing:
             self.half_close(self.idle_since)
-        elif self._deferred.data:
+        elif self._is_held_back():
             self._owner.call_soon(self._resume_serving)
         elif self._owner.closing and self.is_idle():
             # The periodic check of a drain would hardly ever find a busy client idle.
-            self.close()
+            self.close(CloseReason.DRAINED)
 
     def start_stream(self, pending_reply: PendingReply, length: int, flow: FlowControl) -> StreamedReply:
         """Begin a reply that is a large value of so many bytes."""
@@ -185,7 +225,7 @@
             return
         log.warning("large_value_aborted client_connection=closed")
         self._closing = True
-        self.close()
+        self.close(CloseReason.VALUE_ABORTED)
 
     def pause_writing(self) -> None:
         """Stop reading from the client, and from the backend whose value is being written."""
@@ -214,6 +254,22 @@
         if not (self.is_awaiting_replies() or self._closing or self._transport.is_closing()):
             self._reply_and_close(SHUTDOWN_REPLY)
 
+    def close(self, reason: CloseReason) -> None:
+        """Close once all that waits is written."""
+        self._note_close(reason)
+        self._transport.close()
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close at once."""
+        self._note_close(reason)
+        self._transport.abort()
+
+    def _note_close(self, reason: CloseReason) -> None:
+        """Keep the first reason, and let the guard see what is still owed."""
+        if self._close_reason is None and not self._transport.is_closing():
+            self._close_reason = reason
+            self._owner.close_guard.check(reason, self._replies.unanswered(), bool(self._deferred.data))
+
     def _reply_and_close(self, reply: bytes) -> None:
         self.commands.partial_since = 0.0
         self._closing = True
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Iterator
 from typing import Protocol, cast
 
@@ -10,11 +11,14 @@
 from .accept_drain import ACCEPT_DRAIN_QUIET_S, AcceptDrain
 from .client_connection import ClientConnection
 from .client_timeouts import enforce_timeouts
+from .close_guard import CloseGuard
+from .close_reasons import CloseReason
 from .config import Config
 from .hangup_monitor import HangupMonitor
 from .listener import Listener, bound_socket, inherited_socket
 from .pending_replies import PendingReply
 from .request_parser import ClientRequest, RequestParser
+from .transient_errors import retry_transient
 
 CHECK_INTERVAL_S = 0.25  # between two looks at all connections for those past their time-outs
 SCARCE_FRACTION = 0.75  # of the limit on connections, above which they are scarce
@@ -36,6 +40,9 @@
     def submit(self, request: ClientRequest, pending_reply: PendingReply, waited: float, /) -> None:
         """Take in a request that has waited for so many seconds; raise `InvalidCommandError` to refuse it."""
 
+    def shed(self, request: ClientRequest, pending_reply: PendingReply, /) -> None:
+        """Reject a request without taking it in."""
+
     def client_disconnected(self, number: int) -> None:
         """End a request whose client has left."""
 
@@ -43,13 +50,16 @@
 class ClientConnections:
     """The listening socket and the connections accepted on it."""
 
-    def __init__(self, config: Config, requests: RequestHandler, max_connections: int) -> None:
+    def __init__(
+        self, config: Config, requests: RequestHandler, max_connections: int, close_guard: CloseGuard
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.time = loop.time
         self.call_soon = loop.call_soon
         self._call_later = loop.call_later
         self.parser = RequestParser(config)
         self.requests = requests
+        self.close_guard = close_guard
         self.hangup_monitor = HangupMonitor()
         # Limits.
         self._configured_max_connections = max_connections
@@ -83,10 +93,13 @@
             sock = inherited_socket(self._inherited_descriptor)
         if sock is None:
             self._inherited_descriptor = None
-            sock = bound_socket(self._address)
+            sock = await retry_transient(self._bind)
         self._listener = Listener(sock, lambda: ClientConnection(self), self._has_capacity)
         self._schedule_timeout_check()
 
+    async def _bind(self) -> socket.socket:
+        return bound_socket(self._address)
+
     @property
     def port(self) -> int:
         """The port that clients connect to."""
@@ -112,7 +125,7 @@
         client = next(self._evictable(self.time()), None)
         if client is None:
             return False
-        client.close()
+        client.close(CloseReason.EVICTED)
         self.connection_closed(client)
         return True
 
@@ -211,4 +224,4 @@
         self.hangup_monitor.close()
         self.stop_listening()
         for client in self.connections():
-            client.abort()
+            client.abort(CloseReason.SHUTDOWN)
--- a/qos_gateway/server/client_socket.py
+++ b/qos_gateway/server/client_socket.py
@@ -21,7 +21,12 @@
 
 def has_unread_bytes(transport: asyncio.Transport) -> bool:
     """Return whether the open socket holds bytes that the event loop has not read."""
-    return _queued_bytes(transport, termios.FIONREAD) != 0
+    return unread_bytes(transport) != 0
+
+
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes the open socket holds that the event loop has not read."""
+    return _queued_bytes(transport, termios.FIONREAD)
 
 
 def untaken_bytes(transport: asyncio.Transport) -> int:
@@ -108,6 +113,11 @@
         """Return whether the blocked client has taken nothing for as long as the time-out."""
         return self._write_progress.is_stalled(now, untaken_bytes(self._transport), timeout_s)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether what the client sends is read as it comes."""
+        return self._is_reading
+
     def write(self, data: bytes) -> None:
         """Write a part of the reply whose turn it is."""
         if not self._transport.is_closing():
@@ -135,11 +145,3 @@
         if not self.half_close_ends_at and not self._transport.is_closing():
             self.half_close_ends_at = now + HALF_CLOSE_TIMEOUT_S
             self._transport.write_eof()
-
-    def close(self) -> None:
-        """Close once all that waits is written."""
-        self._transport.close()
-
-    def abort(self) -> None:
-        """Close at once."""
-        self._transport.abort()
--- a/qos_gateway/server/connection_pool.py
+++ b/qos_gateway/server/connection_pool.py
@@ -37,9 +37,12 @@
 
     def start(self, attempt: Attempt, now: int) -> None:
         """Send an attempt on an idle connection, or open one for it."""
+        if self.is_draining() and not self.owner.allows_send(attempt, True, now):
+            self.owner.loop.call_soon(self.owner.connect_failed, attempt)
+            return
         connection = self.acquire()
         if connection is not None:
-            connection.send(attempt, now)
+            self._send(connection, attempt, False, now)
         elif self.owner.ensure_capacity():
             self._open(attempt)
         else:
@@ -129,13 +132,27 @@
         elif not self.owner.is_wanted(attempt):
             self._close_unused(connection, Outcome.NOT_SENT)
         else:
+            self._send(connection, attempt, self._is_grace_over(), now)
+
+    def _send(self, connection: BackendConnection, attempt: Attempt, is_drained: bool, now: int) -> None:
+        """Write an attempt, or give the connection up where the guard refuses it."""
+        if self.owner.allows_send(attempt, is_drained, now):
             connection.send(attempt, now)
+        else:
+            connection.close()
+            # Later, as an attempt never ends before its start has returned.
+            self.owner.loop.call_soon(self.owner.connect_failed, attempt)
 
     def _is_too_late(self, attempt: Attempt, now: int) -> bool:
-        """Return whether the drain's grace, or the idempotency window, ended while it connected."""
-        if self.drain_ends_at is not None and self.owner.loop.time() >= self.drain_ends_at:
-            return True
-        return 0 < attempt.send_deadline <= now
+        """Return whether the drain's grace, the idempotency window or its time ended while it connected.
+
+        Its time-out may be due in the same turn of the loop, and not have run yet.
+        """
+        is_over = attempt.expires_at <= now or 0 < attempt.send_deadline <= now
+        return is_over or self._is_grace_over()
+
+    def _is_grace_over(self) -> bool:
+        return self.drain_ends_at is not None and self.owner.loop.time() >= self.drain_ends_at
 
     def _close_unused(self, connection: BackendConnection, outcome: Outcome) -> None:
         attempt = connection.attempt
--- a/qos_gateway/server/discovery.py
+++ b/qos_gateway/server/discovery.py
@@ -47,6 +47,7 @@
         self._schedule = WatchSchedule(drain_grace_s, random.Random())
         self._closed = False
         self._task: asyncio.Task[None] | None = None
+        self._connection: WatchConnection | None = None  # the watch that was opened last
 
     def start(self) -> None:
         """Open the watch."""
@@ -70,14 +71,22 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def has_unread_data(self) -> bool:
+        """Return whether the agent has sent what the event loop has not read yet."""
+        return self._connection is not None and self._connection.has_unread_data()
+
     def current_list(self) -> dict[str, Any] | None:
         """Return the list in discovery's form; None if there was none yet."""
         return self._list.snapshot()
 
+    def note_known(self, update: EndpointUpdate) -> None:
+        """Go on from the configuration's list, which is in force already."""
+        self._list.note_known(update)
+
     def adopt_list(self, raw: dict[str, Any]) -> EndpointUpdate:
-        """Go on from the list of the previous process, and return it; raises `ListError`."""
+        """Go on from a list that was known before, and return it; raises `ListError`."""
         update = parse_update(raw, self._zones, self._machine_classes, cached=True)
-        self._list.adopt(raw, update.topology.version)
+        self._list.store(raw, update)
         return update
 
     async def _run(self) -> None:
@@ -90,7 +99,9 @@
     async def _watch(self) -> WatchConnection:
         """Open a watch and return it once it has ended."""
         host, port = self._agent
-        watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object)
+        timeout_s = self._schedule.response_time_s(asyncio.get_running_loop().time())
+        watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object, timeout_s)
+        self._connection = watch
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().create_connection(lambda: watch, host, port)
--- a/qos_gateway/server/request_table.py
+++ b/qos_gateway/server/request_table.py
@@ -7,16 +7,19 @@
 from itertools import count
 from typing import Protocol
 
-from ..types import Arrival, ClientDisconnected, Fail, Reject, Settings
+from ..types import Arrival, ClientDisconnected, Fail, Reject, RejectReason, Settings
 from ..units import MILLISECOND, SECOND
 from .backends import Attempt
 from .clients import ClientRequest, InvalidCommandError, PendingReply
 from .event_dispatcher import EventDispatcher
 from .metrics import Metrics, RequestResult
+from .repeat_guard import RepeatGuard
+from .request_log import log_rejection
 
 DEADLINE_MARGIN_NS = 10 * MILLISECOND  # off a client's time: the way to it and back, and a loop that lags
 NO_DEADLINE_NS = 1 << 62  # later than any request ends
 
+REJECTED_ANSWER = b"-BUSY\r\n"
 FAILED_ANSWER = b"-ERR failed\r\n"
 TIMED_OUT_ANSWER = b"-ERR out of time\r\n"
 INTERNAL_FAULT_ANSWER = b"-ERR internal fault\r\n"
@@ -42,6 +45,7 @@
     """A request from its arrival until its final answer and the end of its last attempt."""
 
     __slots__ = (
+        "attempts",
         "attempts_in_flight",
         "attempts_started",
         "call",
@@ -59,9 +63,20 @@
         self.closed = False  # answered, or its client has left
         self.streaming_attempt: Attempt | None = None  # the one whose large value flows to the client
         self.attempts_started = 0
+        self.attempts: list[Attempt] = []  # all that were started, ended or not
         self.attempts_in_flight: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
 
+    @property
+    def client_id(self) -> bytes:
+        """Return the client's own id of the request."""
+        return self.call.request_id
+
+    @property
+    def class_index(self) -> int:
+        """Return the index of its class in the settings."""
+        return self.call.class_index
+
 
 class RequestTable:
     """All open requests by number. Each gets one final answer at most, and none after its client left."""
@@ -79,10 +94,12 @@
         self._requests: dict[int, OpenRequest] = {}
         self._open_ids: set[bytes] = set()  # the clients' ids of those that still owe an answer
         self._attempts: AttemptControl
+        self._repeat_guard: RepeatGuard
 
-    def bind(self, attempts: AttemptControl) -> None:
-        """Name the pools that the attempts run on; to be called before the first request."""
+    def bind(self, attempts: AttemptControl, repeat_guard: RepeatGuard) -> None:
+        """Name the pools that the attempts run on, and the guard; to be called before the first request."""
         self._attempts = attempts
+        self._repeat_guard = repeat_guard
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -94,6 +111,11 @@
         """Return an open request, or None once it is over."""
         return self._requests.get(number)
 
+    def client_id(self, number: int) -> bytes:
+        """Return the client's own id of an open request; nothing once it is over."""
+        request = self._requests.get(number)
+        return b"" if request is None or request.closed else request.client_id
+
     def unanswered(self) -> int:
         """Count the requests that still owe an answer."""
         return len(self._open_ids)
@@ -136,6 +158,13 @@
             delay = max(0, deadline - self.clock())
             request.timer = self._loop.call_later(delay / SECOND, self.on_deadline, number)
 
+    def shed(self, call: ClientRequest, slot: PendingReply) -> None:
+        """Reject a request that there is no room for, before the engine sees it."""
+        log_rejection(call.request_id, RejectReason.LOAD_LIMIT, 0)
+        self._metrics.rejections[RejectReason.LOAD_LIMIT] += 1
+        self._metrics.count_request(call.class_index, RequestResult.REJECTED)
+        slot.client.reply(slot, REJECTED_ANSWER)
+
     def client_disconnected(self, number: int) -> None:
         """End a request whose client has left; what has not been written for it never will be."""
         request = self._requests.get(number)
@@ -155,8 +184,13 @@
         request = self._requests.get(action.request_id)
         if request is None or request.closed:
             return
+        log_rejection(request.client_id, action.reason, len(request.attempts))
+        self._metrics.rejections[action.reason] += 1
+        if not self._repeat_guard.allows_rejection(request):
+            self.answer(action.request_id, request, FAILED_ANSWER, RequestResult.FAILED)
+            return
         retry_after_ms = -(-action.retry_after // MILLISECOND)
-        answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else b"-BUSY\r\n"
+        answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else REJECTED_ANSWER
         self.answer(action.request_id, request, answer, RequestResult.REJECTED)
 
     def fail(self, action: Fail) -> None:
--- a/tests/server/test_discovery.py
+++ b/tests/server/test_discovery.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from qos_gateway.server import discovery_watch
+from qos_gateway.server import discovery, discovery_watch
 from qos_gateway.server.discovery import DiscoveryClient
 from qos_gateway.server.discovery_watch import WatchConnection
-from qos_gateway.server.endpoint_list import EndpointUpdate
-from qos_gateway.server.watch_schedule import INITIAL_BACKOFF_S, MAX_BACKOFF_S
+from qos_gateway.server.endpoint_list import EndpointUpdate, parse_update
+from qos_gateway.server.watch_schedule import INITIAL_BACKOFF_S, MAX_BACKOFF_S, UPDATE_TIME_S
 from qos_gateway.types import Health, ListKind
 from tests.support.servers import (
     LOOPBACK,
@@ -31,9 +31,11 @@
 class Follower:
     """Collects what a watch brings."""
 
-    def __init__(self, agent: FakeDiscovery, index: int | None) -> None:
+    def __init__(self, agent: FakeDiscovery, index: int | None, known: dict[str, Any] | None = None) -> None:
         self.updates: asyncio.Queue[EndpointUpdate] = asyncio.Queue()
         self.watch = DiscoveryClient((LOOPBACK, agent.port), ZONES, KINDS, index, self.updates.put_nowait)
+        if known is not None:
+            self.watch.note_known(parse_update(known, ZONES, KINDS, cached=True))
         self.watch.start()
 
     async def next(self) -> EndpointUpdate:
@@ -268,3 +270,71 @@
             assert agent.requests.empty()
 
     run_on_loop(test)
+
+
+def test_silent_watch_after_a_move_is_given_up_before_the_shorter_propagation_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the new agent has binds 4 s after the move, so 5 s of silence are too many there."""
+
+    async def test() -> None:
+        monkeypatch.setattr(discovery, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.2)
+        loop = asyncio.get_running_loop()
+        old, new = FakeDiscovery(), FakeDiscovery()
+        async with listening(old), listening(new):
+            f = Follower(old, 7)
+            await with_timeout(old.requests.get())
+            f.watch.change_agent((LOOPBACK, new.port))
+            await with_timeout(new.requests.get())
+            moved_at = loop.time()
+            await with_timeout(new.requests.get())
+            assert loop.time() - moved_at < discovery_watch.IDLE_TIMEOUT_S / 2
+            await f.watch.close()
+
+    run_on_loop(test)
+
+
+@pytest.mark.parametrize("known_by", ["whole list", "configuration", "process before"])
+def test_older_whole_list_brings_back_nothing_that_was_gone_or_draining(known_by: str) -> None:
+    """What a whole list leaves out is gone: an agent that lags behind the one before may still name it."""
+
+    async def test() -> None:
+        old, new = FakeDiscovery(), FakeDiscovery()
+        newest = endpoint_list(41, endpoint_entry("s-1", 1), endpoint_entry("s-2", 2, "terminating"))
+        async with listening(old), listening(new):
+            f = Follower(old, 40, newest if known_by == "configuration" else None)
+            await with_timeout(old.requests.get())
+            if known_by == "whole list":
+                first = endpoint_list(
+                    40, *(endpoint_entry(f"s-{n}", n) for n in (1, 2, 3)), endpoint_entry("s-4", 4, born_ms=7)
+                )
+                old.send_update(first)
+                old.send_update(newest)
+                await f.next()
+                await f.next()
+            elif known_by == "process before":
+                f.watch.adopt_list(newest)
+            f.watch.change_agent((LOOPBACK, new.port))
+            await with_timeout(new.requests.get())
+            listed = [endpoint_entry(f"s-{n}", n) for n in (1, 2, 3)]
+            new.send_update(endpoint_list(39, *listed, endpoint_entry("s-4", 4, born_ms=9)))
+            topology = (await f.next()).topology
+            # Where s-3 was never seen nobody knows that it is gone; s-4 has started again since.
+            seen = known_by == "whole list"
+            gone = Health.DRAINING if seen else Health.READY
+            assert [e.health for e in topology.entries] == [Health.READY, Health.DRAINING, gone, Health.READY]
+            # Nor do changes from before the newest list bring anything back.
+            new.send_update(endpoint_list(40, *(endpoint_entry(f"s-{n}", n) for n in (2, 3)), whole=False))
+            topology = (await f.next()).topology
+            assert [e.health for e in topology.entries] == [Health.DRAINING, gone]
+            hosts = (f.watch.current_list() or {})["hosts"]
+            last = "terminating" if seen else "in_service"
+            assert [host["health"] for host in hosts[:3]] == ["in_service", "terminating", last]
+            new.send_update(
+                endpoint_list(42, endpoint_entry("s-2", 2), endpoint_entry("s-3", 3), whole=False)
+            )
+            topology = (await f.next()).topology
+            assert [e.health for e in topology.entries] == [Health.READY, Health.READY]
+            await f.watch.close()
+
+    run_on_loop(test)
