Give the server's request and endpoint tables names of their own

Cause: RequestTable and EndpointRegistry stood twice, in state/ (as decided) and in server/ (as owed and reached). Change: those of server/ are OpenRequests (open_requests.py) and EndpointDirectory (endpoint_directory.py).

--- a/qos_gateway/server/action_executor.py
+++ b/qos_gateway/server/action_executor.py
@@ -27,9 +27,9 @@
 from .backends import BackendConnections, ProbeAttempt
 from .counter import CounterClient
 from .event_dispatcher import EventDispatcher
+from .open_requests import OpenRequests
 from .peers import Peers
 from .request_attempts import RequestAttempts
-from .request_table import RequestTable
 
 log = logging.getLogger(__name__)
 
@@ -38,7 +38,7 @@
 class ActionTargets:
     """Whom actions have their effect on."""
 
-    requests: RequestTable
+    requests: OpenRequests
     attempts: RequestAttempts
     backends: BackendConnections
     peers: Peers
--- a/qos_gateway/server/activity_log.py
+++ b/qos_gateway/server/activity_log.py
@@ -10,7 +10,7 @@
 from ..types import Outcome
 from .backends import BackendConnections
 from .clients import ClientConnections
-from .request_table import RequestTable
+from .open_requests import OpenRequests
 
 log = logging.getLogger(__name__)
 
@@ -21,7 +21,7 @@
 class ActivitySources:
     """What the line tells the present numbers of."""
 
-    requests: RequestTable
+    requests: OpenRequests
     clients: ClientConnections
     backends: BackendConnections
 
--- a/qos_gateway/server/admin_operations.py
+++ b/qos_gateway/server/admin_operations.py
@@ -7,12 +7,12 @@
 
 from .clients import ClientConnections
 from .discovery import endpoint_id
-from .endpoint_registry import EndpointRegistry
+from .endpoint_directory import EndpointDirectory
 from .event_dispatcher import EventDispatcher
 from .handover import Handover
 from .handover_channel import HandoverChannel
 from .metrics import Gauges, Metrics, render
-from .request_table import RequestTable
+from .open_requests import OpenRequests
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,8 +20,8 @@
     """What the operators' calls read and change."""
 
     clients: ClientConnections
-    requests: RequestTable
-    endpoints: EndpointRegistry
+    requests: OpenRequests
+    endpoints: EndpointDirectory
     metrics: Metrics
     dispatcher: EventDispatcher
     handover: Handover
--- a/qos_gateway/server/endpoint_registry.py
+++ b/qos_gateway/server/endpoint_directory.py
@@ -10,7 +10,7 @@
 from .discovery import EndpointUpdate
 
 
-class EndpointRegistry:
+class EndpointDirectory:
     """Knows which endpoints are listed, where the ready ones are, and which are administratively disabled."""
 
     def __init__(self, backends: BackendConnections) -> None:
--- a/qos_gateway/server/endpoint_feed.py
+++ b/qos_gateway/server/endpoint_feed.py
@@ -9,7 +9,7 @@
 from .backends import BackendConnections
 from .config import Config
 from .discovery import EndpointUpdate, ListError, parse_update
-from .endpoint_registry import EndpointRegistry
+from .endpoint_directory import EndpointDirectory
 from .event_dispatcher import EventDispatcher
 
 log = logging.getLogger(__name__)
@@ -22,7 +22,7 @@
 class EndpointFeed:
     """Hands each list to the registry, then to the decision engine."""
 
-    def __init__(self, registry: EndpointRegistry, dispatcher: EventDispatcher) -> None:
+    def __init__(self, registry: EndpointDirectory, dispatcher: EventDispatcher) -> None:
         self._registry = registry
         self._dispatcher = dispatcher
         self._received = asyncio.Event()
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -18,17 +18,17 @@
 from .config import Config, needs_restart
 from .counter import CounterClient
 from .discovery import DiscoveryClient, EndpointUpdate
+from .endpoint_directory import EndpointDirectory
 from .endpoint_feed import FIRST_LIST_TIMEOUT_S, SOCKET_POLL_S, EndpointFeed
-from .endpoint_registry import EndpointRegistry
 from .event_dispatcher import EventDispatcher
 from .handover import Handover, SharedParts
 from .handover_channel import HandoverChannel
 from .invariants import InvariantMonitor
 from .metrics import Metrics
+from .open_requests import OpenRequests
 from .peers import Peers
 from .repeat_guard import RepeatGuard
 from .request_attempts import RequestAttempts
-from .request_table import RequestTable
 from .send_guard import SendGuard
 from .start_guard import check_start, check_stop
 from .transient_errors import retry_transient
@@ -56,14 +56,14 @@
         self.activity = ActivityLog()
         engine = DecisionEngine(config.settings, config.seed, self.clock())
         self.dispatcher = EventDispatcher(engine, self.clock)
-        self.requests = RequestTable(config.settings, self.metrics, self.clock, self.dispatcher)
+        self.requests = OpenRequests(config.settings, self.metrics, self.clock, self.dispatcher)
         self.attempts = RequestAttempts(
             config.settings, self.clock, self.dispatcher, self.requests, self.activity, self.metrics
         )
         connections = max(MIN_CONNECTIONS, config.max_descriptors - RESERVED_DESCRIPTORS)
         backend_connections = int(connections * BACKEND_CONNECTION_FRACTION)
         self.backends = self._build_backends(backend_connections)
-        self.endpoints = EndpointRegistry(self.backends)
+        self.endpoints = EndpointDirectory(self.backends)
         repeat_guard = RepeatGuard(config.settings, self.invariants, self.endpoints.find_listed)
         self.requests.bind(self.backends, repeat_guard)
         self.attempts.bind(self.backends, SendGuard(self.invariants), repeat_guard)
--- a/qos_gateway/server/handover.py
+++ b/qos_gateway/server/handover.py
@@ -11,7 +11,7 @@
 from .backends import BackendConnections
 from .clients import ClientConnections
 from .discovery import DiscoveryClient, EndpointUpdate
-from .endpoint_registry import EndpointRegistry
+from .endpoint_directory import EndpointDirectory
 from .engine_capture import HandoverFractions, capture, complete, restore
 from .event_dispatcher import EventDispatcher
 from .handover_messages import HandoverState, ReceivedState
@@ -32,7 +32,7 @@
     clients: ClientConnections
     backends: BackendConnections
     discovery: DiscoveryClient
-    endpoints: EndpointRegistry
+    endpoints: EndpointDirectory
 
 
 class Handover:
--- a/qos_gateway/server/request_table.py
+++ b/qos_gateway/server/open_requests.py
@@ -78,7 +78,7 @@
         return self.call.class_index
 
 
-class RequestTable:
+class OpenRequests:
     """All open requests by number. Each gets one final answer at most, and none after its client left."""
 
     def __init__(
--- a/qos_gateway/server/request_attempts.py
+++ b/qos_gateway/server/request_attempts.py
@@ -15,9 +15,9 @@
 from .close_reasons import CloseReason
 from .event_dispatcher import EventDispatcher
 from .metrics import Metrics, RequestResult
+from .open_requests import FAILED_ANSWER, OpenRequest, OpenRequests
 from .repeat_guard import RepeatGuard
 from .request_log import log_retry, retry_cause
-from .request_table import FAILED_ANSWER, OpenRequest, RequestTable
 from .send_guard import SendGuard
 
 log = logging.getLogger(__name__)
@@ -34,7 +34,7 @@
         settings: Settings,
         clock: Callable[[], int],
         dispatcher: EventDispatcher,
-        requests: RequestTable,
+        requests: OpenRequests,
         activity: ActivityLog,
         metrics: Metrics,
     ) -> None:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -26,9 +26,9 @@
 from qos_gateway.server.config import load
 from qos_gateway.server.connection_pool import ConnectionPool
 from qos_gateway.server.gateway import GatewayProcess
+from qos_gateway.server.open_requests import OpenRequests
 from qos_gateway.server.repeat_guard import RepeatGuard
 from qos_gateway.server.request_attempts import RequestAttempts
-from qos_gateway.server.request_table import RequestTable
 from qos_gateway.server.send_guard import SendGuard
 from qos_gateway.server.start_guard import check_start
 from qos_gateway.state.endpoint import EndpointState
@@ -66,16 +66,16 @@
 
 def lose_answers() -> None:
     """Forget every twentieth answer."""
-    answer = RequestTable.answer
+    answer = OpenRequests.answer
     numbers = count(1)
 
-    def forget(self: RequestTable, number: int, request: Any, *rest: Any) -> None:
+    def forget(self: OpenRequests, number: int, request: Any, *rest: Any) -> None:
         if next(numbers) % LOST_EVERY:
             answer(self, number, request, *rest)
         else:
             self._close(number, request)
 
-    _patch(RequestTable, "answer", forget)
+    _patch(OpenRequests, "answer", forget)
 
 
 def mix_values_up() -> None:
@@ -95,7 +95,7 @@
 def ignore_leaving() -> None:
     """Go on for clients that have left."""
     _patch(ClientSocketProtocol, "has_hung_up", lambda _: False)
-    _patch(RequestTable, "client_disconnected", _nothing)
+    _patch(OpenRequests, "client_disconnected", _nothing)
     _disable_guards()
 
 
--- a/tests/server/test_endpoint_registry.py
+++ b/tests/server/test_endpoint_directory.py
@@ -7,7 +7,7 @@
 from qos_gateway.server.backends import BackendConnections
 from qos_gateway.server.config import Address
 from qos_gateway.server.discovery import EndpointUpdate
-from qos_gateway.server.endpoint_registry import EndpointRegistry
+from qos_gateway.server.endpoint_directory import EndpointDirectory
 from qos_gateway.types import Endpoint, Health, ListKind, Topology
 
 HERE: Address = ("127.0.0.1", 1)
@@ -29,9 +29,9 @@
     return EndpointUpdate(Topology(kind, 1, listed), {number: address for number, _ in entries})
 
 
-def registry() -> tuple[EndpointRegistry, FakePools]:
+def registry() -> tuple[EndpointDirectory, FakePools]:
     pools = FakePools()
-    return EndpointRegistry(cast(BackendConnections, pools)), pools
+    return EndpointDirectory(cast(BackendConnections, pools)), pools
 
 
 def test_whole_list_ends_the_endpoints_that_it_no_longer_names() -> None:
