--- a/tests/server/test_config.py
+++ b/tests/server/test_config.py
@@ -1,14 +1,16 @@
-"""Which changes of the configuration a running gateway reports as in need of a restart, and by which keys."""
+"""The configuration: file and environment, nested settings, and which changes need a restart."""
 
 from __future__ import annotations
 
+import json
 from dataclasses import fields
+from pathlib import Path
 
 import pytest
 
-from qos_gateway.server.config import Config, ConfigError, needs_restart, parse
+from qos_gateway.server.config import Config, ConfigError, flatten, load, needs_restart, parse, reload
 from qos_gateway.server.config_types import CONFIGURATION_KEYS
-from tests.support.servers import raw_config
+from tests.support.servers import LOOPBACK, endpoint_list, raw_config
 
 
 def test_keys_stand_for_fields_of_the_configuration() -> None:
@@ -37,3 +39,53 @@
     raw["settings"]["limits"]["connectTimeout"] = float("inf")
     with pytest.raises(ConfigError, match="connectTimeout"):
         parse(raw, {})
+
+
+def test_environment_comes_before_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw_config(1)))
+    config = load(
+        {
+            "ROUTER_CONFIG": str(path),
+            "ROUTER_NAME": "n7",
+            "ROUTER_LISTEN": "127.0.0.9:1",
+            "ROUTER_DISCOVERY": "127.0.0.8:2",
+        }
+    )
+    assert (config.name, config.listen, config.discovery) == ("n7", ("127.0.0.9", 1), ("127.0.0.8", 2))
+    assert config.seed == 0x8C1F30D27A5BE964
+    with pytest.raises(ConfigError):
+        load({})
+
+
+def test_reload_goes_by_the_file_where_discovery_is(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw_config(1)))
+    environment = {"ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": "127.0.0.8:2", "ROUTER_NAME": "n7"}
+    old = load(environment)
+    path.write_text(
+        json.dumps(raw_config(3, endpoint_list(4), zones=["c"]) | {"seed": "1", "name": "ignored"})
+    )
+    new = reload(environment)
+    assert new.discovery == (LOOPBACK, 3)
+    assert needs_restart(old, new) == ["zones"]
+    assert needs_restart(old, old) == []
+
+
+def test_nested_settings_become_the_start_messages_lines() -> None:
+    nested = {"a": [{"name": "look up, twice", "on": True}], "b": {"c": [1, 2.5], "d": []}, "e": 10**12}
+    assert list(flatten(nested)) == [
+        "a.count=1",
+        "a.0.name=look_up__twice",
+        "a.0.on=true",
+        "b.c=1,2.5",
+        "b.d=",
+        "e=1000000000000",
+    ]
+
+
+def test_names_on_the_wire_are_those_of_the_settings_as_written() -> None:
+    config = parse(raw_config(1), {})
+    assert config.classes == (b"look up", b"submit", b"charge")
+    assert config.plans == (b"team",)
+    assert config.settings.classes[0].name == "look_up"
--- a/tests/server/test_descriptor_limits.py
+++ b/tests/server/test_descriptor_limits.py
@@ -17,7 +17,7 @@
 
 from qos_gateway.server import listener
 from qos_gateway.server.listener import Listener
-from tests.server.test_process import COMMAND
+from tests.support.processes import COMMAND
 from tests.support.servers import (
     LOOPBACK,
     Connection,
--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -14,7 +14,7 @@
 
 from qos_gateway.server import accept_drain
 from qos_gateway.types import Arrival, Send
-from tests.server.test_process import launched, running
+from tests.support.processes import launched, running
 from tests.support.scripted_engine import only_backend, script_engine
 from tests.support.servers import (
     FakeBackend,
--- a/tests/server/test_momentary_failures.py
+++ b/tests/server/test_momentary_failures.py
@@ -22,7 +22,7 @@
 from qos_gateway.server.handover_channel import HandoverChannel
 from qos_gateway.server.transient_errors import RETRY_INTERVAL_S
 from tests.server.test_admin import FakeAdminHandler
-from tests.server.test_process import running
+from tests.support.processes import running
 from tests.support.servers import (
     FakeBackend,
     FakeDiscovery,
--- a/tests/server/test_time_to_ready.py
+++ b/tests/server/test_time_to_ready.py
@@ -16,7 +16,7 @@
 
 from benchmarks.design import DESIGN
 from benchmarks.discovery_updates import encode_full_list
-from tests.server.test_process import COMMAND
+from tests.support.processes import COMMAND
 from tests.support.servers import LOOPBACK, Connection, FakeDiscovery, raw_config, run_on_loop, with_timeout
 
 READY = 10.0  # s; seen beside other load: 2.2 to 2.4, and 5.8 where two calls are turned away first
--- /dev/null
+++ b/tests/server/test_upgrade.py
@@ -0,0 +1,195 @@
+"""Upgrades: the next process starts beside the one that serves, and takes over its state and socket."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.support.processes import inherited_socket, operate, running, serving
+from tests.support.servers import (
+    FakeBackend,
+    FakeDiscovery,
+    call_command,
+    endpoint_entry,
+    endpoint_list,
+    listening,
+    run_on_loop,
+    success_reply,
+    wait_until,
+    with_timeout,
+)
+
+
+def test_upgrade_on_an_inherited_socket_answers_all_and_leaves_new_ones_to_the_next(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent, backend = FakeDiscovery(), FakeBackend()
+        async with listening(agent), listening(backend), inherited_socket() as sock:
+            agent.first_update = endpoint_list(1, endpoint_entry("s-1", backend.port))
+            async with serving(tmp_path, agent, backend, sock) as old:
+                taken, idle = await old.client(), await old.client()
+                idle.send(b"*1\r\n$4\r\nPING\r\n")
+                assert await idle.next_message() == b"PONG"
+                taken.send(call_command(number=1))
+                first, _ = await backend.next_command()
+                async with serving(tmp_path, agent, backend, sock) as new:
+                    old.process.send_signal(signal.SIGTERM)
+                    await old.logged(b"stopping")
+                    assert await idle.next_message() is None
+                    for number in range(2, 12):  # the old accepts no more
+                        client = await new.client()
+                        client.send(call_command(number=number))
+                        connection, words = await backend.next_command()
+                        assert words[2] == b"%016x" % number
+                        connection.send(success_reply(b"new"))
+                        assert await client.next_message() == b"new"
+                    assert old.process.returncode is None
+                    first.send(success_reply(b"old"))
+                    assert await taken.next_message() == b"old"
+                    assert await taken.next_message() is None
+                    assert await with_timeout(old.process.wait()) == 0
+                    client = await new.client()
+                    client.send(call_command(number=20))
+                    connection, _ = await backend.next_command()
+                    connection.send(success_reply(b"still"))
+                    assert await client.next_message() == b"still"
+
+    run_on_loop(test)
+
+
+def test_disabled_endpoint_stays_so_over_an_upgrade_and_either_process_takes_the_call(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        agent, one, two = FakeDiscovery(), FakeBackend(), FakeBackend()
+        async with listening(agent), listening(one), listening(two), inherited_socket() as sock:
+            agent.first_update = endpoint_list(
+                1, endpoint_entry("s-1", one.port), endpoint_entry("s-2", two.port)
+            )
+            async with serving(tmp_path, agent, one, sock) as old:
+                kept = await old.client()
+                kept.send(call_command(number=1, wait_ms=9000))
+                await wait_until(lambda: one.commands.qsize() + two.commands.qsize() == 1)
+                held = (one if one.commands.qsize() else two).commands.get_nowait()[0]
+                assert await operate(old, "/ops/order-servers/down", b"s-1") == 200
+                async with serving(tmp_path, agent, one, sock) as new:
+                    assert b"handover_completed endpoints_disabled=1" in new.read
+                    assert await operate(new, "/ops/readiness") == 200
+                    # During the overlap the old door reaches the new process, and the other way round.
+                    assert await operate(new, "/ops/order-servers/up", b"s-1") == 200
+                    assert await operate(old, "/ops/order-servers/down", b"s-2") == 200
+                    old.process.send_signal(signal.SIGTERM)
+                    await old.logged(b"stopping")
+                    assert await operate(old, "/ops/readiness") == 503
+                    await asyncio.sleep(0)
+                    for number in range(2, 12):
+                        client = await new.client()
+                        client.send(call_command(number=number))
+                        answered = asyncio.ensure_future(client.next_message())
+                        while not answered.done():
+                            assert two.commands.empty()  # left out: nothing may go there
+                            if not one.commands.empty():
+                                one.commands.get_nowait()[0].send(success_reply(b"v"))
+                            await asyncio.sleep(0.001)
+                    held.send(success_reply(b"old"))
+                    assert await kept.next_message() == b"old"
+                    assert await with_timeout(old.process.wait()) == 0
+                    await new.logged(b"handover_other_process_ended")
+                    assert await operate(new, "/ops/order-servers/up", b"s-2") == 200
+                    assert await operate(new, "/ops/order-servers/up", b"s-3") == 404
+
+    run_on_loop(test)
+
+
+def test_old_process_gets_its_shares_back_when_the_new_one_dies(tmp_path: Path) -> None:
+    async def test() -> None:
+        agent, backend = FakeDiscovery(), FakeBackend()
+        async with listening(agent), listening(backend), inherited_socket() as sock:
+            agent.first_update = endpoint_list(1, endpoint_entry("s-1", backend.port))
+            async with serving(tmp_path, agent, backend, sock) as old:
+                async with serving(tmp_path, agent, backend, sock) as new:
+                    new.process.kill()
+                    await new.process.wait()
+                await old.logged(b"handover_other_process_ended")
+                assert await operate(old, "/ops/order-servers/down", b"s-1") == 200
+                assert await operate(old, "/ops/order-servers/up", b"s-1") == 200
+                assert await operate(old, "/ops/readiness") == 200
+                old.process.send_signal(signal.SIGTERM)
+                assert old.process.stderr is not None
+                assert b"handover_other_process_ended" not in await with_timeout(old.process.stderr.read())
+                assert await with_timeout(old.process.wait()) == 0
+
+    run_on_loop(test)
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        None,
+        b"",
+        b"{",
+        b"\xff\n",
+        b'{"v":2,"state":{}}\n',
+        b'{"v":1,"state":{}}\n',
+        b'{"v":1,"state":7}\n',
+        b'{"v":1,"state":{"list":null,"clients":1,"backends":1,"decisions":{"accounts":[[1]]}}}\n',
+    ],
+)
+def test_silent_or_malformed_process_before_delays_the_start_by_a_bounded_time(
+    tmp_path: Path, said: bytes | None
+) -> None:
+    async def test() -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(await reader.readline())
+            if said is not None:
+                writer.write(said)
+                if not said.endswith(b"\n"):
+                    writer.close()
+
+        asked: list[bytes] = []
+        server = await asyncio.start_unix_server(answer, tmp_path / "upgrade-n0.sock")
+        agent, backend = FakeDiscovery(), FakeBackend()
+        async with listening(agent), listening(backend), inherited_socket() as sock:
+            agent.first_update = endpoint_list(1, endpoint_entry("s-1", backend.port))
+            async with serving(tmp_path, agent, backend, sock) as p:
+                assert json.loads(asked[0]) == {"v": 1, "want": "state"}
+                client = await p.client()
+                client.send(call_command())
+                connection, _ = await backend.next_command()
+                connection.send(success_reply(b"v"))
+                assert await client.next_message() == b"v"
+        server.close()
+
+    run_on_loop(test)
+
+
+def test_socket_of_a_killed_process_is_replaced_in_a_folder_with_a_long_path(tmp_path: Path) -> None:
+    async def test() -> None:
+        folder = tmp_path / ("long" * 30)
+        folder.mkdir()
+        agent, backend = FakeDiscovery(), FakeBackend()
+        async with listening(agent), listening(backend), inherited_socket() as sock:
+            agent.first_update = endpoint_list(1, endpoint_entry("s-1", backend.port))
+            async with serving(folder, agent, backend, sock) as killed:
+                killed.process.kill()
+                await killed.process.wait()
+            async with serving(folder, agent, backend, sock) as p:  # finds the name, and nobody there
+                assert await operate(p, "/ops/order-servers/down", b"s-1") == 200
+                async with serving(folder, agent, backend, sock) as new:
+                    assert b"handover_completed endpoints_disabled=1" in new.read
+
+    run_on_loop(test)
+
+
+@pytest.mark.parametrize("descriptor", ["0", "999"])
+def test_descriptor_that_is_no_listening_socket_is_passed_over(tmp_path: Path, descriptor: str) -> None:
+    async def test() -> None:
+        async with running(tmp_path, ROUTER_PASSED_SOCKET=descriptor) as p:
+            client = await p.client()
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next_message() == b"PONG"
+
+    run_on_loop(test)
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,133 @@
+"""Gateways in processes of their own, on a configuration file and, where wanted, an inherited socket."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from tests.support.servers import (
+    LOOPBACK,
+    Connection,
+    FakeBackend,
+    FakeDiscovery,
+    endpoint_entry,
+    endpoint_list,
+    listening,
+    raw_config,
+    with_timeout,
+)
+
+COMMAND = (sys.executable, "-m", "qos_gateway")
+
+
+class Process:
+    """A gateway in a process of its own."""
+
+    def __init__(
+        self, process: asyncio.subprocess.Process, port: int, backend: FakeBackend, path: Path
+    ) -> None:
+        self.process, self.port, self.backend, self.path = process, port, backend, path
+        self.door = 0
+        self.read = b""  # of the log: what was read past on the way to lines asked for
+
+    async def logged(self, words: bytes) -> bytes:
+        """Reads the log up to a line that holds these words."""
+        assert self.process.stderr is not None
+        while words not in (line := await with_timeout(self.process.stderr.readline())):
+            assert line, "ended before it said so"
+            self.read += line
+        return line
+
+    async def client(self) -> Connection:
+        return Connection(*await with_timeout(asyncio.open_connection(LOOPBACK, self.port)))
+
+
+@asynccontextmanager
+async def inherited_socket() -> AsyncIterator[socket.socket]:
+    """A listening socket as the platform holds it."""
+    with socket.create_server((LOOPBACK, 0)) as sock:
+        sock.set_inheritable(True)
+        yield sock
+
+
+@asynccontextmanager
+async def serving(
+    folder: Path, agent: FakeDiscovery, backend: FakeBackend, sock: socket.socket
+) -> AsyncIterator[Process]:
+    """A gateway on a listening socket that the platform holds."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw_config(agent.port)))
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND,
+        stderr=asyncio.subprocess.PIPE,
+        pass_fds=(sock.fileno(),),
+        env={
+            **os.environ,
+            "ROUTER_CONFIG": str(path),
+            "ROUTER_PASSED_SOCKET": str(sock.fileno()),
+            "ROUTER_OPERATOR": f"{LOOPBACK}:0",
+            "TMPDIR": str(folder),
+        },
+    )
+    try:
+        made = Process(process, sock.getsockname()[1], backend, path)
+        made.door = int((await made.logged(b"admin_started")).rsplit(b":", 1)[1])
+        await made.logged(b"listening on")
+        yield made
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def operate(p: Process, path: str, body: bytes = b"") -> int:
+    """Status of an operator's call."""
+    reader, writer = await with_timeout(asyncio.open_connection(LOOPBACK, p.door))
+    head = f"{'POST' if body else 'GET'} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+    answer = await with_timeout(reader.read())
+    writer.close()
+    return int(answer.split()[1])
+
+
+@asynccontextmanager
+async def launched(
+    folder: Path, agent: FakeDiscovery, **more: str
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """A gateway's process, from its first moment."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw_config(agent.port)))
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND,
+        stderr=asyncio.subprocess.PIPE,
+        env={
+            **os.environ,
+            "ROUTER_CONFIG": str(path),
+            "ROUTER_DISCOVERY": f"{LOOPBACK}:{agent.port}",
+            **more,
+        },
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+@asynccontextmanager
+async def running(folder: Path, **more: str) -> AsyncIterator[Process]:
+    agent, backend = FakeDiscovery(), FakeBackend()
+    async with listening(agent), listening(backend):
+        agent.first_update = endpoint_list(1, endpoint_entry("s-1", backend.port))
+        async with launched(folder, agent, **more) as process:
+            assert process.stderr is not None
+            while b"listening on" not in (line := await with_timeout(process.stderr.readline())):
+                assert line, "ended before it listened"
+            yield Process(process, int(line.rsplit(b":", 1)[1]), backend, folder / "config.json")
