Soak: crowds of idle clients, and outages of discovery of up to 9 s

Cause: no run filled a gateway's connections, and none had discovery away for longer than its deadlines. Change: a trouble opens 250 idle connections where 168 are held; an outage of discovery lasts up to 9 s.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -20,6 +20,7 @@
 HEAVY_PLAN = 1
 PIPELINED_COMMANDS = 120
 LEAVERS = 6
+CROWD_CONNECTIONS = 250  # a gateway with 400 descriptors holds 168 clients
 BAD_CLIENT_PATIENCE_S = 6.0
 PIECE_GAP_S = 0.02
 KIND_WEIGHTS = (6, 3, 2)
@@ -259,6 +260,17 @@
             self.loop.call_later(self._rng.choice((0.0, 0.001, 0.01, 0.05, 0.3)), connection.leave)
             await asyncio.sleep(PIECE_GAP_S)
 
+    async def crowd(self, gateway: int, duration_s: float) -> None:
+        """Open more connections than the gateway holds, say nothing on them, and close them after a while."""
+        process = self._serving_process(gateway)
+        if process is None:
+            return
+        idle = [await self._connect(gateway, process) for _ in range(CROWD_CONNECTIONS)]
+        await asyncio.sleep(duration_s)
+        for connection in idle:
+            if connection is not None and not connection.is_closed:
+                connection.transport.close()
+
     async def misbehave(self, gateway: int, data: bytes) -> None:
         """Send what is no command, and wait for an error or the end."""
         process = self._serving_process(gateway)
--- a/soak/run.py
+++ b/soak/run.py
@@ -253,6 +253,7 @@
             TroubleKind.PIPELINE: lambda: self.traffic.pipeline(position),
             TroubleKind.LEAVE: lambda: self.traffic.leave(position),
             TroubleKind.HALF_COMMAND: lambda: self.traffic.misbehave(position, HALF_COMMAND),
+            TroubleKind.CROWD: lambda: self.traffic.crowd(position, trouble.duration_s),
             TroubleKind.GARBAGE: lambda: self.traffic.misbehave(position, GARBAGE),
         }
         coroutine = actions[trouble.kind]()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -9,6 +9,9 @@
 TROUBLES_PER_MEETING = (2, 3)
 MEETING_INTERVAL_S = 1.6  # between two moments at which several troubles meet
 MEETING_SPREAD_S = 0.9  # by which those of one moment lie apart
+MIN_DURATION_S = 0.3
+MAX_DURATION_S = 3.0
+MAX_OUTAGE_S = 9.0  # of discovery, longer than any deadline of propagation
 QUIET_START_S = 2.0
 QUIET_END_S = 8.0  # without new troubles, in which service must come back
 
@@ -45,6 +48,7 @@
     PIPELINE = "pipeline"  # many commands at once
     LEAVE = "leave"  # clients close under their requests
     HALF_COMMAND = "half_command"
+    CROWD = "crowd"  # idle clients take all connections that there are
     GARBAGE = "garbage"
     # The counter.
     COUNTER_DOWN = "counter_down"
@@ -66,6 +70,7 @@
         TroubleKind.PIPELINE,
         TroubleKind.LEAVE,
         TroubleKind.HALF_COMMAND,
+        TroubleKind.CROWD,
         TroubleKind.GARBAGE,
     }
 )
@@ -105,8 +110,9 @@
     rng: random.Random, kind: TroubleKind, at: float, gateways: int, order_servers: int
 ) -> Trouble:
     if kind in OF_COUNTER:
-        return Trouble(kind, at, rng.uniform(0.5, 3.0), ())
+        return Trouble(kind, at, rng.uniform(MIN_DURATION_S, MAX_DURATION_S), ())
     population = gateways if kind in OF_GATEWAYS else order_servers
     most = max(1, population // 3)
     targets = tuple(rng.sample(range(population), rng.randint(1, most)))
-    return Trouble(kind, at, rng.uniform(0.3, 3.0), targets)
+    longest_s = MAX_OUTAGE_S if kind is TroubleKind.DISCOVERY_DOWN else MAX_DURATION_S
+    return Trouble(kind, at, rng.uniform(MIN_DURATION_S, longest_s), targets)
