Give up a watch that falls silent after a move before the deadline of 4 s

Cause: a watch at the new discovery that brought its list and then nothing was given up after 5 s of silence, 5 s after the move at the earliest, while what the new discovery has binds 4 s after it. Change: a watch that is silent at the time by which the next call has to begin (3.4 s after a move) is given up then, if a heartbeat has been missed (2.5 s without data).

--- a/qos_gateway/server/discovery.py
+++ b/qos_gateway/server/discovery.py
@@ -99,8 +99,8 @@
     async def _watch(self) -> WatchConnection:
         """Open a watch and return it once it has ended."""
         host, port = self._agent
-        timeout_s = self._schedule.response_time_s(asyncio.get_running_loop().time())
-        watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object, timeout_s)
+        give_up_at = self._schedule.give_up_silent_at(asyncio.get_running_loop().time())
+        watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object, give_up_at)
         self._connection = watch
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/qos_gateway/server/discovery_watch.py
+++ b/qos_gateway/server/discovery_watch.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 5.0  # an idle watch brings an empty line every 2 s, so two were missed
+HEARTBEAT_TIMEOUT_S = 2.5  # of which one was missed, where the time is short
 MAX_OBJECT_BYTES = 4 << 20  # some 20,000 endpoints; a longer object is no list
 MAX_RETRY_AFTER_DIGITS = 5
 STATUS_OK = 200
@@ -40,16 +41,17 @@
         host: str,
         version: int | None,
         on_object: Callable[[Any], None],
-        response_time_s: float = inf,
+        give_up_silent_at: float = inf,
     ) -> None:
-        """Take `response_time_s` as the longest time until the first data, where it is under the usual."""
+        """Take `give_up_silent_at` as the time at which a watch that is silent is given up early."""
         self._loop = asyncio.get_running_loop()
         self._host = host
         self._version = version
         self._http = h11.Connection(h11.CLIENT)
         self._reader = JsonObjectReader(on_object)
         self._last_data_at = self._loop.time()
-        self._idle_timeout_s = min(IDLE_TIMEOUT_S, response_time_s)
+        self._give_up_silent_at = give_up_silent_at
+        self._has_data = False
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self.ended: asyncio.Future[None] = self._loop.create_future()
@@ -77,12 +79,20 @@
 
     def _check_idle(self) -> None:
         """End the watch if nothing came for too long: a machine that is gone closes no connection."""
-        time_left_s = self._last_data_at + self._idle_timeout_s - self._loop.time()
+        time_left_s = self._idle_until() - self._loop.time()
         if time_left_s <= 0:
             self._finish("idle_timeout")
         else:
             self._timer = self._loop.call_later(time_left_s, self._check_idle)
 
+    def _idle_until(self) -> float:
+        """Return when it is given up unless data comes before."""
+        idle_until = self._last_data_at + IDLE_TIMEOUT_S
+        if self._last_data_at >= self._give_up_silent_at:
+            return idle_until
+        heartbeat_until = self._last_data_at + HEARTBEAT_TIMEOUT_S if self._has_data else 0.0
+        return min(idle_until, max(self._give_up_silent_at, heartbeat_until))
+
     def data_received(self, data: bytes) -> None:
         """Read the response as far as it has come."""
         try:
@@ -110,7 +120,7 @@
 
     def _read_body(self, data: bytes) -> None:
         self._last_data_at = self._loop.time()  # a head with no body behind it counts as idle
-        self._idle_timeout_s = IDLE_TIMEOUT_S
+        self._has_data = True
         for line in self._reader.split_lines(data):
             self._reader.read_line(line)
             if self._reader.is_between_objects():
--- a/qos_gateway/server/watch_schedule.py
+++ b/qos_gateway/server/watch_schedule.py
@@ -37,11 +37,11 @@
         self._backoff_s = INITIAL_BACKOFF_S
         self._call_due_at = at + deadline_s - UPDATE_TIME_S
 
-    def response_time_s(self, now: float) -> float:
-        """Return how long a call that begins now may stay without data: the next one has to begin in time."""
+    def give_up_silent_at(self, now: float) -> float:
+        """Return when a call that begins now is given up if silent: the next one has to begin in time."""
         if self._call_due_at is None:
             return inf
-        return max(INITIAL_BACKOFF_S, self._call_due_at - now)
+        return max(now + INITIAL_BACKOFF_S, self._call_due_at)
 
     def delay_after_disconnect(self) -> float:
         """Return the wait after a watch that had been up to date."""
--- a/tests/server/test_discovery.py
+++ b/tests/server/test_discovery.py
@@ -338,3 +338,28 @@
             await f.watch.close()
 
     run_on_loop(test)
+
+
+def test_watch_that_falls_silent_after_a_move_is_given_up_before_the_shorter_propagation_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It brought a list and nothing since, not even the heartbeat that was due."""
+
+    async def test() -> None:
+        monkeypatch.setattr(discovery, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.3)
+        monkeypatch.setattr(discovery_watch, "HEARTBEAT_TIMEOUT_S", 0.1, raising=False)
+        loop = asyncio.get_running_loop()
+        old, new = FakeDiscovery(), FakeDiscovery()
+        async with listening(old), listening(new):
+            f = Follower(old, 7)
+            await with_timeout(old.requests.get())
+            new.first_update = endpoint_list(8, endpoint_entry("s-1", 1))
+            f.watch.change_agent((LOOPBACK, new.port))
+            await f.next()
+            moved_at = loop.time()
+            await with_timeout(new.requests.get())
+            await with_timeout(new.requests.get())
+            assert loop.time() - moved_at < discovery_watch.IDLE_TIMEOUT_S / 2
+            await f.watch.close()
+
+    run_on_loop(test)
