Keep the deadline of a move when discovery moves again

Cause: a second SIGHUP within 4 s put off the time by which the list had to be up to date for the first. Change: of two moves in a row the earlier deadline stays until it is passed.

--- a/qos_gateway/server/discovery.py
+++ b/qos_gateway/server/discovery.py
@@ -14,7 +14,6 @@
 from .watch_schedule import (
     FIRST_LIST_DEADLINE_S,
     MAX_BACKOFF_S,
-    PROPAGATION_DEADLINE_AFTER_MOVE_S,
     PROPAGATION_DEADLINE_S,
     WatchSchedule,
 )
@@ -59,7 +58,7 @@
             return
         log.info("discovery_address_changed to=%s:%d", *agent)
         self._agent = agent
-        self._schedule.on_up_to_date(asyncio.get_running_loop().time(), PROPAGATION_DEADLINE_AFTER_MOVE_S)
+        self._schedule.on_moved(asyncio.get_running_loop().time())
         if self._task is not None:
             self._task.cancel()
             self.start()
--- a/qos_gateway/server/watch_schedule.py
+++ b/qos_gateway/server/watch_schedule.py
@@ -37,6 +37,13 @@
         self._backoff_s = INITIAL_BACKOFF_S
         self._call_due_at = at + deadline_s - UPDATE_TIME_S
 
+    def on_moved(self, at: float) -> None:
+        """Note that discovery has moved; what it had counts as told early, also after a move just before."""
+        due_before = self._call_due_at
+        self.on_up_to_date(at, PROPAGATION_DEADLINE_AFTER_MOVE_S)
+        if due_before is not None and due_before > at and self._call_due_at is not None:
+            self._call_due_at = min(due_before, self._call_due_at)
+
     def give_up_silent_at(self, now: float) -> float:
         """Return when a call that begins now is given up if silent: the next one has to begin in time."""
         if self._call_due_at is None:
--- a/tests/server/test_discovery.py
+++ b/tests/server/test_discovery.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from qos_gateway.server import discovery, discovery_watch
+from qos_gateway.server import discovery_watch, watch_schedule
 from qos_gateway.server.discovery import DiscoveryClient
 from qos_gateway.server.discovery_watch import WatchConnection
 from qos_gateway.server.endpoint_list import EndpointUpdate, parse_update
@@ -278,7 +278,7 @@
     """What the new agent has binds 4 s after the move, so 5 s of silence are too many there."""
 
     async def test() -> None:
-        monkeypatch.setattr(discovery, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.2)
+        monkeypatch.setattr(watch_schedule, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.2)
         loop = asyncio.get_running_loop()
         old, new = FakeDiscovery(), FakeDiscovery()
         async with listening(old), listening(new):
@@ -346,7 +346,7 @@
     """It brought a list and nothing since, not even the heartbeat that was due."""
 
     async def test() -> None:
-        monkeypatch.setattr(discovery, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.3)
+        monkeypatch.setattr(watch_schedule, "PROPAGATION_DEADLINE_AFTER_MOVE_S", UPDATE_TIME_S + 0.3)
         monkeypatch.setattr(discovery_watch, "HEARTBEAT_TIMEOUT_S", 0.1, raising=False)
         loop = asyncio.get_running_loop()
         old, new = FakeDiscovery(), FakeDiscovery()
--- a/tests/server/test_discovery_deadlines.py
+++ b/tests/server/test_discovery_deadlines.py
@@ -187,6 +187,18 @@
         )
 
 
+def test_second_move_puts_the_deadline_of_the_first_off_by_nothing() -> None:
+    schedule = WatchSchedule(60.0, random.Random(1))
+    schedule.on_up_to_date(0.0)
+    schedule.on_moved(100.0)
+    first = 100.0 + PROPAGATION_DEADLINE_AFTER_MOVE_S - UPDATE_TIME_S
+    assert schedule.give_up_silent_at(100.0) == first
+    schedule.on_moved(102.0)
+    assert schedule.give_up_silent_at(102.0) == first
+    schedule.on_moved(104.0)
+    assert schedule.give_up_silent_at(104.0) == 104.0 + PROPAGATION_DEADLINE_AFTER_MOVE_S - UPDATE_TIME_S
+
+
 def calls_of(gateways: int, per_s: int, wait: Callable[[int, random.Random], float]) -> list[float]:
     """Return when a fleet that lost its watches together calls a discovery with room for `per_s` a second.
 
