--- a/qos_gateway/server/discovery.py
+++ b/qos_gateway/server/discovery.py
@@ -14,7 +14,6 @@
 from .watch_schedule import (
     FIRST_LIST_DEADLINE_S,
     MAX_BACKOFF_S,
-    PROPAGATION_DEADLINE_AFTER_MOVE_S,
     PROPAGATION_DEADLINE_S,
     WatchSchedule,
 )
@@ -59,7 +58,7 @@
             return
         log.info("discovery_address_changed to=%s:%d", *agent)
         self._agent = agent
-        self._schedule.on_up_to_date(asyncio.get_running_loop().time(), PROPAGATION_DEADLINE_AFTER_MOVE_S)
+        self._schedule.on_moved(asyncio.get_running_loop().time())
         if self._task is not None:
             self._task.cancel()
             self.start()
@@ -99,8 +98,8 @@
     async def _watch(self) -> WatchConnection:
         """Open a watch and return it once it has ended."""
         host, port = self._agent
-        timeout_s = self._schedule.response_time_s(asyncio.get_running_loop().time())
-        watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object, timeout_s)
+        give_up_at = self._schedule.give_up_silent_at(asyncio.get_running_loop().time())
+        watch = WatchConnection(f"{host}:{port}", self._list.version, self._on_object, give_up_at)
         self._connection = watch
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
