Choose the port of a starting process where no other connection can take it

The test picks a free port and lets go of it; the process's log was not shown, so that another connection took the port is inferred (thousands came and went on that address), not traced. Change: the process listens on 127.0.0.2, from which nobody connects; a process that is not ready shows its log. The bounds are the same.

--- a/tests/server/test_time_to_ready.py
+++ b/tests/server/test_time_to_ready.py
@@ -9,7 +9,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -21,6 +21,8 @@
 
 READY = 10.0  # s; seen beside other load: 2.2 to 2.4, and 5.8 where two calls are turned away first
 TURN, PART = 0.01, 3  # s that the process runs, and of how many such turns it has one
+# Not where the connections of other tests and programs come from: one could take the chosen port.
+LISTEN_HOST = "127.0.0.2"
 LIST = encode_full_list(DESIGN.endpoints)
 BUSY = b"HTTP/1.1 503 Busy\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"
 
@@ -52,10 +54,10 @@
 ) -> AsyncIterator[tuple[int, float, list[str]]]:
     """A starting process that runs in every third turn; its port, when it began, and its log."""
     with socket.socket() as free:
-        free.bind((LOOPBACK, 0))
+        free.bind((LISTEN_HOST, 0))
         listen = free.getsockname()[1]
     raw = raw_config(port, json.loads(LIST) if known else None)
-    raw["listen"] = f"{LOOPBACK}:{listen}"
+    raw["listen"] = f"{LISTEN_HOST}:{listen}"
     path, log = folder / "config.json", list[str]()
     path.write_text(json.dumps(raw))
     began = time.monotonic()
@@ -64,11 +66,12 @@
     )
 
     async def turns() -> None:
-        while process.returncode is None:
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(TURN * (PART - 1))
-            process.send_signal(signal.SIGCONT)
-            await asyncio.sleep(TURN)
+        with suppress(ProcessLookupError):
+            while process.returncode is None:
+                process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(TURN * (PART - 1))
+                process.send_signal(signal.SIGCONT)
+                await asyncio.sleep(TURN)
 
     async def read() -> None:
         assert process.stderr is not None
@@ -81,7 +84,8 @@
     finally:
         for task in tasks:
             task.cancel()
-        process.kill()
+        if process.returncode is None:
+            process.kill()
         await process.wait()
 
 
@@ -89,7 +93,7 @@
     """Until the gateway says so, as a front asks."""
     while True:
         try:
-            client = Connection(*await asyncio.open_connection(LOOPBACK, port))
+            client = Connection(*await asyncio.open_connection(LISTEN_HOST, port))
             client.send(b"*1\r\n$4\r\nPING\r\n")
             answer = await client.next_message()
             client.writer.close()
@@ -115,7 +119,10 @@
         if how == "down":
             server.close()
         async with third_of_a_core(tmp_path, port, known) as (listen, began, log):
-            await with_timeout(ready(listen))
+            try:
+                await with_timeout(ready(listen))
+            except TimeoutError:
+                pytest.fail(f"not ready, log: {log}")
             took = time.monotonic() - began
             assert took <= READY, (took, log)
             parts = next(text for text in log if "started name=" in text)
