--- a/soak/discovery_agents.py
+++ b/soak/discovery_agents.py
@@ -10,12 +10,12 @@
 from typing import Any, cast
 from urllib.parse import parse_qs, urlsplit
 
-from soak.observations import ListChange, Record, Told
+from soak.observations import ListChange, Notified, Record
 from soak.order_servers import OrderServer
 from soak.settings import LOCALHOST, MACHINE_CLASS
 
 HEARTBEAT_S = 2.0
-PROPAGATION_DEADLINE_S = 6.0  # after it a change counts as told, whatever came of the calls
+PROPAGATION_DEADLINE_S = 6.0  # after it a change counts as notified, whatever came of the calls
 PROPAGATION_DEADLINE_AFTER_MOVE_S = 4.0
 OLD_AGENT_CLOSES_AFTER_S = 1.5
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -238,7 +238,7 @@
             self._tell_first(watch)
         elif watch.sent_version < self._version:
             self._send(watch, self._source.delta(watch.sent_version, self._version, self.gateway))
-            self._note_told(watch.sent_version, self._version)
+            self._note_notified(watch.sent_version, self._version)
         watch.sent_version = max(self._version, watch.sent_version or 0)
 
     def _tell_first(self, watch: WatchConnection) -> None:
@@ -251,7 +251,7 @@
         else:
             whole = self._source.whole_list(self._version, self.gateway, not self.omits_draining)
             self._send(watch, whole)
-        self._note_told(0, self._version)
+        self._note_notified(0, self._version)
 
     def _send(self, watch: WatchConnection, update: dict[str, Any]) -> None:
         watch.send(json.dumps(update).encode() + b"\n")
@@ -264,11 +264,11 @@
             if watch.sent_version is not None and not watch.is_mute:
                 watch.send(b"\n")
 
-    def _note_told(self, after: int, version: int) -> None:
+    def _note_notified(self, after: int, version: int) -> None:
         now = self._loop.time()
         for _, change in self._source.changes[after:version]:
-            self._record.told.append(self.told(change, now))
+            self._record.notifications.append(self.notified(change, now))
 
-    def told(self, change: ListChange, at: float) -> Told:
-        """Return that this gateway counts as told of a change from a time on."""
-        return Told(self.gateway, change.server, at, change.at, change.in_service, change.began_at)
+    def notified(self, change: ListChange, at: float) -> Notified:
+        """Return that this gateway counts as notified of a change from a time on."""
+        return Notified(self.gateway, change.server, at, change.at, change.in_service, change.began_at)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -33,8 +33,8 @@
 AGENT_LAG_S = 1.5
 FRONT_NOTICES_STOP_S = 0.3  # for which new connections still come after SIGTERM
 PING = b"*1\r\n$4\r\nPING\r\n"
-FAULT_WORDS = re.compile(r"invariant_violated|Traceback|event_fault|action_fault|Error\b.*exception")
-LISTENING_WORDS = "listening on="
+FAULT_PATTERN = re.compile(r"invariant_violated|Traceback|event_fault|action_fault|Error\b.*exception")
+LISTENING_EVENT = "listening on="
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,9 +63,9 @@
             while line := await self.process.stderr.readline():
                 file.write(line)
                 text = line.decode(errors="replace")
-                if LISTENING_WORDS in text and not self._listening.done():
+                if LISTENING_EVENT in text and not self._listening.done():
                     self._listening.set_result(int(text.rsplit(":", 1)[1]))
-                if FAULT_WORDS.search(text):
+                if FAULT_PATTERN.search(text):
                     self.seen.faults.append(text.strip())
         if not self._listening.done():
             self._listening.set_result(0)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -23,7 +23,7 @@
 BEHIND_OTHERS_SLACK_S = 0.05  # after the answer before it on the connection
 DEADLINE_SLACK_S = 0.15  # by which an attempt may tell more than the client has left
 WINDOW_SLACK_S = 0.05 + 0.15
-COPY_SLACK_S = 0.02  # between a close and the next attempt, as the servers see them
+CONCURRENCY_SLACK_S = 0.02  # between a close and the next attempt, as the servers see them
 LEFT_SLACK_S = 0.1 + 0.05
 READ_SURELY_S = 0.3  # after a request was written: the gateway has read it
 READY_WITHIN_S = 10.0
@@ -191,7 +191,7 @@
         if number > deployment.max_attempts:
             text = f"{number} attempts request={request_id} gateway={gateway}"
             found.append(Violation(Rule.TOO_MANY_ATTEMPTS, attempts[-1].last_byte_at, text))
-    found += _check_copies(deployment, request_id, attempts, timing)
+    found += _check_concurrent_attempts(deployment, request_id, attempts, timing)
     executed = [a for a in attempts if a.may_have_executed]
     if kind.effect is Effect.NOT_IDEMPOTENT and len(executed) > 1:
         servers = [a.server for a in executed]
@@ -202,7 +202,7 @@
     return found
 
 
-def _check_copies(
+def _check_concurrent_attempts(
     deployment: Deployment, request_id: str, attempts: list[AttemptSeen], timing: Timing
 ) -> list[Violation]:
     if deployment.allows_hedging:
@@ -210,10 +210,12 @@
     found = []
     for before, after in pairwise(attempts):
         slack_s = timing.slack_s(after.gateway, after.last_byte_at, after.last_byte_at)
-        is_out = before.ended_at is None or before.ended_at > after.last_byte_at + COPY_SLACK_S + slack_s
+        is_out = (
+            before.ended_at is None or before.ended_at > after.last_byte_at + CONCURRENCY_SLACK_S + slack_s
+        )
         if is_out and before.gateway == after.gateway:
             text = f"two attempts at once request={request_id}"
-            found.append(Violation(Rule.SECOND_COPY, after.last_byte_at, text))
+            found.append(Violation(Rule.CONCURRENT_ATTEMPTS, after.last_byte_at, text))
     return found
 
 
--- a/soak/judge_endpoints.py
+++ b/soak/judge_endpoints.py
@@ -6,24 +6,24 @@
 from math import sqrt
 
 from soak.judge_timing import Timing
-from soak.observations import AttemptSeen, Record, Told
+from soak.observations import AttemptSeen, Notified, Record
 from soak.settings import Deployment
 from soak.violations import Rule, Violation
 
 DRAIN_SLACK_S = 0.05
 SMALL_BUDGET = 30.0
-TOLD_SHARE = 2 / 3
+NOTIFIED_SHARE = 2 / 3
 CAPACITY_STEPS = 20
 
 
 def check_drains(deployment: Deployment, record: Record, timing: Timing) -> list[Violation]:
-    """Find attempts that began after the grace of a drain that the gateway counts as told of."""
-    told: dict[tuple[int, int], list[Told]] = defaultdict(list)
-    for change in sorted(record.told, key=lambda t: t.at):
-        told[change.gateway, change.server].append(change)
+    """Find attempts that began after the grace of a drain that the gateway counts as notified of."""
+    notified: dict[tuple[int, int], list[Notified]] = defaultdict(list)
+    for change in sorted(record.notifications, key=lambda t: t.at):
+        notified[change.gateway, change.server].append(change)
     found = []
     for attempt in record.attempts:
-        drained_at = _drained_at(told[attempt.gateway, attempt.server], attempt.first_byte_at)
+        drained_at = _drained_at(notified[attempt.gateway, attempt.server], attempt.first_byte_at)
         if drained_at is None:
             continue
         late_s = attempt.first_byte_at - drained_at - deployment.drain_grace_s
@@ -38,10 +38,10 @@
     return found
 
 
-def _drained_at(changes: list[Told], at: float) -> float | None:
-    """Return since when the gateway counts as told that a server drains; None where it may be in use.
+def _drained_at(changes: list[Notified], at: float) -> float | None:
+    """Return since when the gateway counts as notified that a server drains; None where it may be in use.
 
-    Changes are in the order of `change_at`; of those at the source by then, the newest holds once it is told.
+    Changes are in the order of `change_at`; of those at the source by then, the newest one told holds.
     """
     known = [change for change in changes if change.at <= at]
     if not known:
@@ -57,12 +57,12 @@
 
 
 def check_slow_starts(deployment: Deployment, record: Record) -> list[Violation]:
-    """Find cold order servers that got more in a window than they bear, from gateways that were told."""
+    """Find cold order servers that got more in a window than they bear, from gateways that were notified."""
     attempts: dict[int, list[AttemptSeen]] = defaultdict(list)
     for attempt in sorted(record.attempts, key=lambda a: a.last_byte_at):
         attempts[attempt.server].append(attempt)
     found = []
-    for server, born_at in sorted({(t.server, t.began_at) for t in record.told if t.began_at > 0.0}):
+    for server, born_at in sorted({(t.server, t.began_at) for t in record.notifications if t.began_at > 0.0}):
         found += _check_slow_start(deployment, record, server, born_at, attempts[server])
     return found
 
@@ -70,9 +70,9 @@
 def _check_slow_start(
     deployment: Deployment, record: Record, server: int, born_at: float, attempts: list[AttemptSeen]
 ) -> list[Violation]:
-    told_at = {
+    notified_at = {
         t.gateway: t.at
-        for t in sorted(record.told, key=lambda t: -t.at)
+        for t in sorted(record.notifications, key=lambda t: -t.at)
         if t.server == server and t.began_at == born_at
     }
     end = born_at + deployment.slow_start_window_s
@@ -85,8 +85,8 @@
             window.pop(0)
         if len(window) <= _budget(deployment, attempt.last_byte_at - born_at):
             continue
-        from_told = sum(a.first_byte_at >= told_at.get(a.gateway, end) for a in window)
-        if from_told > TOLD_SHARE * len(window):
+        from_notified = sum(a.first_byte_at >= notified_at.get(a.gateway, end) for a in window)
+        if from_notified > NOTIFIED_SHARE * len(window):
             text = (
                 f"{len(window)} attempts in a window server={server} age={attempt.last_byte_at - born_at:.2f}"
             )
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -77,8 +77,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
-    """From when on a gateway counts as told of a change."""
+class Notified:
+    """From when on a gateway counts as notified of a change."""
 
     gateway: int
     server: int
@@ -115,7 +115,7 @@
     attempts: list[AttemptSeen] = field(default_factory=list)
     processes: list[ProcessSeen] = field(default_factory=list)
     changes: list[ListChange] = field(default_factory=list)
-    told: list[Told] = field(default_factory=list)
+    notifications: list[Notified] = field(default_factory=list)
     bad_clients: list[BadClientSeen] = field(default_factory=list)
     lags: list[Lag] = field(default_factory=list)
     troubles_end_at: float = 0.0
--- a/soak/order_servers.py
+++ b/soak/order_servers.py
@@ -316,12 +316,12 @@
             self._held.append(lambda: connection.reply(seen, reply))
         elif self._meets(TroubleKind.LOST_RESPONSE):
             return
-        elif self._meets(TroubleKind.SPOILT):
-            self._reply_spoilt(connection, seen, reply)
+        elif self._meets(TroubleKind.MALFORMED):
+            self._reply_malformed(connection, seen, reply)
         else:
             connection.reply(seen, reply)
 
-    def _reply_spoilt(self, connection: ServerConnection, seen: AttemptSeen, reply: bytes) -> None:
+    def _reply_malformed(self, connection: ServerConnection, seen: AttemptSeen, reply: bytes) -> None:
         what = self._rng.randrange(4)
         if what == 0:
             connection.reply(seen, self._rng.choice(MALFORMED_REPLIES))
--- a/soak/run.py
+++ b/soak/run.py
@@ -42,7 +42,7 @@
         TroubleKind.BUSY,
         TroubleKind.ERROR,
         TroubleKind.LOST_RESPONSE,
-        TroubleKind.SPOILT,
+        TroubleKind.MALFORMED,
         TroubleKind.IDLE_CLOSE,
         TroubleKind.UNACCEPTING,
     }
@@ -260,7 +260,7 @@
         if coroutine is not None:
             self._spawn(coroutine)
 
-    # What counts as told though nothing arrived.
+    # What counts as notified though nothing arrived.
 
     def _note_deadlines(self) -> None:
         for gateway in self.gateways:
@@ -278,7 +278,7 @@
                 ]
                 later_starts = [start for start in starts if start >= change.at]
                 known_at = min([at, *moves, *later_starts])
-                self.record.told.append(gateway.agent.told(change, known_at))
+                self.record.notifications.append(gateway.agent.notified(change, known_at))
 
     def _reachable_at(self, gateway: Gateway, at: float) -> float:
         outages = sorted(outage for agent in gateway.agents for outage in agent.outages)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -41,7 +41,7 @@
     DRAIN = "drain"  # drains, and is back later
     REPLACE = "replace"  # one drains, and a new one joins cold
     LOST_RESPONSE = "lost_response"  # answers no command of about two, on open connections
-    SPOILT = "spoilt"  # malformed, broken off, repeated responses
+    MALFORMED = "malformed"  # malformed, broken off, repeated responses
     IDLE_CLOSE = "idle_close"  # closes idle connections early
     UNACCEPTING = "unaccepting"  # new connections come up late or never
     # Clients.
--- a/soak/violations.py
+++ b/soak/violations.py
@@ -14,7 +14,7 @@
     CLIENT_LEFT = "client_left"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
-    SECOND_COPY = "second_copy"
+    CONCURRENT_ATTEMPTS = "concurrent_attempts"
     TOO_MANY_ATTEMPTS = "too_many_attempts"
     FALSE_REFUSAL = "false_refusal"
     DRAIN = "drain"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -73,7 +73,7 @@
         Rule.TOO_MANY_ATTEMPTS,
         (trouble(KIND.BUSY, 1.0, 6.0), trouble(KIND.UNACCEPTING, 1.0, 6.0)),
     ),
-    "hedge_always": (Rule.SECOND_COPY, (trouble(KIND.HANG, 2.0, 4.0),)),
+    "hedge_always": (Rule.CONCURRENT_ATTEMPTS, (trouble(KIND.HANG, 2.0, 4.0),)),
     "ignore_drains": (Rule.DRAIN, (trouble(KIND.DRAIN, 1.5, 5.0),)),
     "ignore_reloads": (Rule.DRAIN, RELOAD_AND_DRAIN),
     "skip_slow_start": (Rule.SLOW_START, (replace(trouble(KIND.REPLACE), targets=(0,)),)),
