--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -95,7 +95,7 @@
         if pool is not None:
             if pool.address == address and not pool.is_draining():
                 return
-            pool.drain(self.loop.time() + self._drain_grace_s)
+            pool.drain(self.time() + self._drain_grace_s)
         if address is not None:
             self._pools[backend] = ConnectionPool(self, address)
 
@@ -144,7 +144,7 @@
         now = self.time()
         for backend, pool in list(self._pools.items()):
             pool.close_expired(now)
-            if pool.is_drained(self.loop.time()):
+            if pool.is_drained(now):
                 del self._pools[backend]
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
--- a/qos_gateway/server/connection_pool.py
+++ b/qos_gateway/server/connection_pool.py
@@ -152,7 +152,7 @@
         return is_over or self._is_grace_over()
 
     def _is_grace_over(self) -> bool:
-        return self.drain_ends_at is not None and self.owner.loop.time() >= self.drain_ends_at
+        return self.drain_ends_at is not None and self.owner.time() >= self.drain_ends_at
 
     def _close_unused(self, connection: BackendConnection, outcome: Outcome) -> None:
         attempt = connection.attempt
--- a/tests/server/test_connection_pool.py
+++ b/tests/server/test_connection_pool.py
@@ -298,6 +298,7 @@
         async with backend_harness(backend, grace=grace_s) as b:
             pool = b.pools._pools[7]
             now = b.pools.loop.time()
+            b.pools.time = lambda: now
             b.pools.set_address(7, None)
             assert pool.drain_ends_at is not None
             assert now <= pool.drain_ends_at <= max(now, now + grace_s - 0.15)
