--- a/tests/server/test_backends.py
+++ b/tests/server/test_backends.py
@@ -370,3 +370,25 @@
             client.abort()
 
     run_on_loop(test)
+
+
+@pytest.mark.parametrize("how", ["cancelled", "out of time"])
+def test_connection_of_an_attempt_given_up_ends_before_the_next_attempt_is_written(how: str) -> None:
+    """Where hedging is not allowed two attempts at once break a rule, and the process may be held up there."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with closing(socket.create_server((LOOPBACK, 0))) as listener:
+            listener.setblocking(False)
+            async with backend_harness(port=listener.getsockname()[1]) as b:
+                attempt = b.start(1)
+                accepted, _ = await with_timeout(loop.sock_accept(listener))
+                with closing(accepted):
+                    assert await with_timeout(loop.sock_recv(accepted, 1 << 16))
+                    give_up = {"cancelled": b.pools.cancel_attempt, "out of time": b.pools.expire_attempt}
+                    give_up[how](attempt)
+                    # The loop does not turn here, as if the process were held up.
+                    accepted.settimeout(1.0)
+                    assert accepted.recv(1) == b""
+
+    run_on_loop(test)
--- a/tests/server/test_discovery.py
+++ b/tests/server/test_discovery.py
@@ -14,6 +14,7 @@
 from qos_gateway.server.endpoint_list import EndpointUpdate, parse_update
 from qos_gateway.server.watch_schedule import INITIAL_BACKOFF_S, MAX_BACKOFF_S, UPDATE_TIME_S
 from qos_gateway.types import Health, ListKind
+from qos_gateway.units import MILLISECOND
 from tests.support.servers import (
     LOOPBACK,
     FakeDiscovery,
@@ -363,3 +364,35 @@
             await f.watch.close()
 
     run_on_loop(test)
+
+
+def test_older_list_takes_back_no_restart_that_a_newer_one_told_of() -> None:
+    """An endpoint that an older list calls warm is cold still, and one that has drained since drains on."""
+
+    async def test() -> None:
+        old, new = FakeDiscovery(), FakeDiscovery()
+        async with listening(old), listening(new):
+            f = Follower(old, None)
+            await with_timeout(old.requests.get())
+            old.send_update(
+                endpoint_list(
+                    41,
+                    endpoint_entry("s-1", 1, born_ms=9),
+                    endpoint_entry("s-2", 2, "terminating", born_ms=9),
+                    endpoint_entry("s-3", 3, born_ms=5),
+                )
+            )
+            await f.next()
+            f.watch.change_agent((LOOPBACK, new.port))
+            await with_timeout(new.requests.get())
+            before = [endpoint_entry("s-1", 1), endpoint_entry("s-2", 2), endpoint_entry("s-3", 3, born_ms=8)]
+            new.send_update(endpoint_list(40, *before))
+            entries = (await f.next()).topology.entries
+            assert [(e.health, e.started_at // MILLISECOND) for e in entries] == [
+                (Health.READY, 9),
+                (Health.DRAINING, 9),
+                (Health.READY, 8),
+            ]
+            await f.watch.close()
+
+    run_on_loop(test)
--- a/tests/server/test_large_values.py
+++ b/tests/server/test_large_values.py
@@ -92,6 +92,29 @@
     run_on_loop(test)
 
 
+def test_value_that_stalls_past_the_clients_time_ends_within_half_a_second_of_it() -> None:
+    """Later than that the request counts as lost; nothing more may come of an order server that hangs."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            client = await harness.connect_client()
+            client.send(call_command(wait_ms=300))
+            sent_at = asyncio.get_running_loop().time()
+            connection, _ = await harness.backend.next_command()
+            connection.send(success_reply(value(100_000))[:80_000])
+            assert len(await with_timeout(client.reader.read(1 << 20)))
+            while await with_timeout(client.reader.read(1 << 20)):
+                pass
+            assert (
+                asyncio.get_running_loop().time() - sent_at
+                < response_receiver.LARGE_RESPONSE_STALL_TIMEOUT_S / 2
+            )
+            await wait_until(lambda: not harness.gateway.requests._requests)
+            assert harness.gateway.clients.active_streams == 0
+
+    run_on_loop(test)
+
+
 @pytest.mark.parametrize("how", ["break", "malformed", "stall"])
 def test_value_that_breaks_off_ends_its_clients_connection_without_a_second_attempt(
     how: str, monkeypatch: pytest.MonkeyPatch
