End the connection of an attempt given up before the next attempt is written

Cause: BackendConnection.close() aborts its transport, and uvloop closes the socket one turn of the loop later. The next attempt of the request is written in the same turn, so for that time both are out on open connections; a process held up there keeps them so for 0.15 s, where hedging may not be allowed. Change: the socket is shut down at once where an attempt is out on it.

--- a/qos_gateway/server/backend_connection.py
+++ b/qos_gateway/server/backend_connection.py
@@ -6,6 +6,7 @@
 import logging
 import select
 import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 import hiredis
@@ -106,6 +107,8 @@
 
     def close(self) -> None:
         """Close at once: nothing more is sent, and what still comes is dropped."""
+        if self.attempt is not None:
+            self._shut_down()
         self.attempt = None
         self.cancel_timer()
         if self.transport is not None:
@@ -114,6 +117,19 @@
             self.connect_task.cancel()
         self.pool.remove(self)
 
+    def _shut_down(self) -> None:
+        """End the connection in the system now; the transport does so in a later turn of the loop.
+
+        By then the request's next attempt is written, and bytes may have left that counted as never sent.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)
+        with suppress(OSError):  # the other side was first
+            borrowed.shutdown(socket.SHUT_RDWR)
+        borrowed.detach()
+
     def cancel_timer(self) -> None:
         """Cancel the time-out of the connect, or of the response that has begun."""
         if self.timer is not None:
