Keep restarts and drains that were told of, whatever an older list says

Cause: WatchedList compared starts for equality. A list from an agent that lags was taken at its word where the endpoint had been restarted since: cold ones counted as warm, and one that had restarted and drained as in service. Change: an older version's entry gets the latest start that the newest version told of, and its drain where the entry's start is not later; the list for the next process says so, too.

--- a/qos_gateway/server/watched_list.py
+++ b/qos_gateway/server/watched_list.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..types import Endpoint, Health, ListKind
+from ..units import MILLISECOND
 from .endpoint_list import EndpointUpdate
 
 MAX_LEAVING_ENDPOINTS = 1024  # several whole fleets
@@ -17,7 +18,7 @@
     """The list's version, its entries in discovery's form, and what the newest version said of each.
 
     An agent that lags behind the one before tells of older versions. They are followed, as changes arrive in
-    order after them, but what was draining or gone in the newest version stays so until that is passed.
+    order after them, but what drained, was gone or had restarted in the newest version stays so until then.
     """
 
     def __init__(self, version: int | None) -> None:
@@ -35,16 +36,17 @@
             return None
         if self._newest_version is None or version >= self._newest_version:
             return update
-        entries = tuple(self._preserve_draining(entry) for entry in update.topology.entries)
+        entries = tuple(self._preserve_newest(entry) for entry in update.topology.entries)
         return EndpointUpdate(replace(update.topology, entries=entries), update.addresses)
 
-    def _preserve_draining(self, entry: Endpoint) -> Endpoint:
-        if entry.health is Health.READY and self._is_leaving(entry):
-            return replace(entry, health=Health.DRAINING)
-        return entry
-
-    def _is_leaving(self, entry: Endpoint) -> bool:
-        return self._leaving.get(entry.id) == entry.started_at
+    def _preserve_newest(self, entry: Endpoint) -> Endpoint:
+        """Return an older version's entry with what the newest one told of its latest start and its drain."""
+        left = self._leaving.get(entry.id)
+        if left is not None and left >= entry.started_at:
+            health = Health.DRAINING if entry.health is Health.READY else entry.health
+            return replace(entry, health=health, started_at=left)
+        started_at = max(entry.started_at, self._listed.get(entry.id, 0))
+        return entry if started_at == entry.started_at else replace(entry, started_at=started_at)
 
     def note_known(self, update: EndpointUpdate) -> None:
         """Note a list that was known before the start, and is in force until a newer one comes."""
@@ -65,10 +67,11 @@
         for host, entry in zip(raw["hosts"], entries, strict=True):
             if host["health"] == TERMINATED:
                 self._hosts.pop(host["host"], None)
-            elif entry.health is Health.DRAINING:
-                self._hosts[host["host"]] = {**host, "health": TERMINATING}
-            else:
-                self._hosts[host["host"]] = host
+                continue
+            stored = {**host, "born_ms": entry.started_at // MILLISECOND}
+            if entry.health is Health.DRAINING:
+                stored["health"] = TERMINATING
+            self._hosts[host["host"]] = stored
 
     def _store_newest(self, update: EndpointUpdate) -> None:
         """Note which endpoints the newest version lists, and which drain or are gone."""
