Hold a large value whole while other commands wait behind it

Cause: a value was passed on as it came, whatever waited behind it. Change: a value begins to flow once nothing is behind it on its connection, no whole command nor a part of one; until then it is held, all held ones within an eighth of the memory, counted until the client takes them. While one flows nothing more is read from its client. Without room it flows as before. A command whose reading was paused gets its time-out anew.

--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -99,8 +99,8 @@
         return now - self.commands.partial_since
 
     def is_writing_large_value(self) -> bool:
-        """Return whether the reply whose turn it is is a large value."""
-        return self._replies.first_stream() is not None
+        """Return whether a large value is being written."""
+        return self._replies.is_value_in_flow()
 
     # Input.
 
@@ -129,7 +129,7 @@
         self._is_parsing = True
         try:
             while position < len(data) and not self._closing:
-                if self._is_pipeline_full() or self.blocked:
+                if not self._may_take_command():
                     self._defer(data[position:], received_at)
                     break
                 arguments = self.commands.next_command(data, position)
@@ -174,19 +174,22 @@
             self._serve_commands(self._deferred.take(), self._deferred.since)
         self._update_reading()
 
-    def _is_pipeline_full(self) -> bool:
-        return len(self._replies.pending) >= MAX_PIPELINED
+    def _may_take_command(self) -> bool:
+        """Return whether another command may be taken; none behind a value that may yet break off."""
+        is_full = len(self._replies.pending) >= MAX_PIPELINED
+        return not (is_full or self.blocked or self._replies.is_value_in_flow())
 
     def _update_reading(self) -> None:
         """Read only what can be taken."""
         if self._closing:
             may_read = self._discarded_bytes <= MAX_DISCARDED_BYTES
         else:
-            may_read = not (self._deferred.data or self.blocked or self._is_pipeline_full())
+            may_read = not self._deferred.data and self._may_take_command()
         if self.set_reading(may_read):
             self._owner.hangup_monitor.set_watched(self, not may_read)
             if may_read:
                 self._delayed_bytes = unread_bytes(self._transport)
+                self.commands.restart_timeout()
             else:
                 self._paused_at = self._owner.time()
 
@@ -196,9 +199,11 @@
         """Give a command its reply, which is written once all before it on this connection are."""
         if not self._replies.write(pending_reply, reply):
             return
+        if not self.blocked:
+            self._replies.release_written()
         pending = self._replies.pending
         if pending:
-            self._replies.start_next_stream()
+            self.start_next_stream()
             if self._is_held_back() and len(pending) < MAX_PIPELINED:
                 self._owner.call_soon(self._resume_serving)
             return
@@ -213,7 +218,15 @@
 
     def start_stream(self, pending_reply: PendingReply, length: int, flow: FlowControl) -> StreamedReply:
         """Begin a reply that is a large value of so many bytes."""
-        return self._replies.start_stream(pending_reply, length, flow)
+        stream = self._replies.start_stream(pending_reply, length, flow)
+        self.start_next_stream()
+        return stream
+
+    def start_next_stream(self) -> None:
+        """Let the large value whose turn it is flow, unless it has to be held for what is behind it."""
+        has_commands_behind = len(self._replies.pending) > 1 or self._deferred.data or self.commands.is_midway
+        if self._replies.start_first_stream(bool(has_commands_behind)):
+            self._update_reading()
 
     def abort_stream(self, pending_reply: PendingReply, reply: bytes) -> None:
         """End a large value that stays incomplete, with this reply if nothing of it was written.
@@ -236,6 +249,7 @@
     def resume_writing(self) -> None:
         """Go on reading."""
         self._write_progress.unblock()
+        self._replies.release_written()
         self._replies.set_stream_paused(False)
         self._resume_serving()
 
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -65,11 +65,13 @@
         self._configured_max_connections = max_connections
         self.max_connections = max_connections
         self._configured_buffer_memory = int(config.memory_bytes * BUFFER_MEMORY_FRACTION)
-        self.buffer_memory = self._configured_buffer_memory  # bytes of deferred input of all connections
+        # Bytes of deferred input of all connections, and as many of large values that are held.
+        self.buffer_memory = self._configured_buffer_memory
         self.write_buffer_bytes = max(  # that one client may leave untaken
             MIN_WRITE_BUFFER_BYTES, self.buffer_memory // max_connections
         )
         self.deferred_bytes = 0  # of all connections
+        self.held_bytes = 0  # of large values that are not written, or not taken yet, of all connections
         self.active_streams = 0  # large values that are being written
         # Connections, both with the one first that became idle longest ago.
         self._connections: dict[ClientConnection, None] = {}  # those that have sent a whole command
--- a/qos_gateway/server/client_input.py
+++ b/qos_gateway/server/client_input.py
@@ -34,6 +34,11 @@
         """Whether a command has begun and not ended."""
         return self._frames.midway
 
+    def restart_timeout(self) -> None:
+        """Count the time of an incomplete command from now on: its bytes were not read before."""
+        if self.partial_since:
+            self.partial_since = self._time()
+
     def next_command(self, data: bytes, start: int) -> list[bytes] | None:
         """Read `data` from `start` on, and return the arguments of the command that ends in it first.
 
--- a/qos_gateway/server/client_timeouts.py
+++ b/qos_gateway/server/client_timeouts.py
@@ -24,7 +24,7 @@
     elif client.half_close_ends_at:
         if now >= client.half_close_ends_at:
             client.abort(CloseReason.PROTOCOL_ERROR)
-    elif client.commands.partial_since:
+    elif client.commands.partial_since and client.is_reading:
         # Before its first command a client's time runs from connecting on.
         started_at = client.commands.partial_since if client.has_sent_command else client.idle_since
         if now - started_at >= COMMAND_TIMEOUT_S:
--- a/qos_gateway/server/pending_replies.py
+++ b/qos_gateway/server/pending_replies.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from .backends import FlowControl
@@ -16,38 +18,60 @@
 class PendingReply:
     """The place of one command's reply in the order of its connection."""
 
-    __slots__ = ("client", "reply", "request_number", "stream")
+    __slots__ = ("client", "held_bytes", "reply", "request_number", "stream")
 
     def __init__(self, client: ClientConnection, request_number: int = -1) -> None:
         self.client = client
         self.request_number = request_number  # of the open request, -1 where there is none
         self.reply: bytes | None = None  # whole, once it is known
         self.stream: StreamedReply | None = None  # where it is a large value that is still being received
+        self.held_bytes = 0  # of a large value that was received and is not written yet
 
 
 class StreamedReply:
     """A large value on its way to a client.
 
-    It is written as it is received once all replies before it are; the backend is read no faster than the
-    client takes it.
+    It is written as it is received where its turn has come and no command waits behind it: a value that
+    breaks off after that ends the connection. Until then it is held as far as there is room; the backend is
+    read no faster than that, and no faster than the client takes it.
     """
 
-    __slots__ = ("_buffered", "_client", "_flow_control", "_header", "started")
-
-    def __init__(self, client: ClientConnection, length: int, flow_control: FlowControl) -> None:
+    __slots__ = (
+        "_buffered",
+        "_client",
+        "_flow_control",
+        "_header",
+        "_reserve_room",
+        "is_out_of_room",
+        "started",
+    )
+
+    def __init__(
+        self,
+        client: ClientConnection,
+        length: int,
+        flow_control: FlowControl,
+        reserve_room: Callable[[int], bool],
+    ) -> None:
+        """Take `reserve_room` to count bytes as held, which returns whether there was room for them."""
         self._client = client
         self._flow_control = flow_control
+        self._reserve_room = reserve_room
         self._header = b"$%d\r\n" % length
-        self._buffered: list[bytes] = []  # what is received before the replies ahead are written
+        self._buffered: list[bytes] = []  # what is received before it is started
+        self.is_out_of_room = False  # it waits to be started, and the backend is paused
         self.started = False
 
     def write(self, data: bytes) -> None:
-        """Pass on a part of the value, or keep it and pause the backend until its turn comes."""
+        """Pass on a part of the value, or hold it; without room pause the backend until it is started."""
         if self.started:
             self._client.write(data)
-        else:
-            self._buffered.append(data)
+            return
+        self._buffered.append(data)
+        if not self._reserve_room(len(data)):
+            self.is_out_of_room = True
             self._flow_control.pause()
+            self._client.start_next_stream()
 
     def start(self) -> None:
         """Write what was received so far, and from now on whatever is received."""
@@ -74,10 +98,11 @@
 class ReplyQueue:
     """The pending replies of one connection, the oldest first."""
 
-    __slots__ = ("_owner", "_transport", "pending")
+    __slots__ = ("_owner", "_transport", "_written_held_bytes", "pending")
 
     def __init__(self, owner: ClientConnections) -> None:
         self._owner = owner
+        self._written_held_bytes = 0  # of values that were held, are written, and may not be taken yet
         self._transport: asyncio.Transport
         self.pending: deque[PendingReply] = deque()
 
@@ -94,16 +119,38 @@
         if pending[0] is not pending_reply:
             return False
         if len(pending) == 1:
-            pending.popleft()
+            self._count_written(pending.popleft())
             self._transport.write(reply)
             return True
         replies = []
         while pending and (ready := pending[0].reply) is not None:
-            pending.popleft()
+            self._count_written(pending.popleft())
             replies.append(ready)
         self._transport.write(b"".join(replies))
         return True
 
+    # The memory of large values.
+
+    def _reserve_room(self, pending_reply: PendingReply, size: int) -> bool:
+        """Count so many bytes as held, unless all connections together would hold too many."""
+        if self._owner.held_bytes + size > self._owner.buffer_memory:
+            return False
+        self._owner.held_bytes += size
+        pending_reply.held_bytes += size
+        return True
+
+    def _count_written(self, pending_reply: PendingReply) -> None:
+        self._written_held_bytes += pending_reply.held_bytes
+        pending_reply.held_bytes = 0
+
+    def release_written(self) -> None:
+        """Count what was held and written as held no longer: the client takes it."""
+        if self._written_held_bytes:
+            self._owner.held_bytes -= self._written_held_bytes
+            self._written_held_bytes = 0
+
+    # Large values.
+
     def _end_stream(self, pending_reply: PendingReply) -> None:
         if pending_reply.stream is not None and pending_reply.stream.started:
             self._owner.active_streams -= 1
@@ -113,27 +160,41 @@
     def start_stream(
         self, pending_reply: PendingReply, length: int, flow_control: FlowControl
     ) -> StreamedReply:
-        """Begin a reply that is a large value, at once if it is its turn."""
-        stream = StreamedReply(pending_reply.client, length, flow_control)
+        """Begin a reply that is a large value; it is held until it is started."""
+        stream = StreamedReply(
+            pending_reply.client, length, flow_control, partial(self._reserve_room, pending_reply)
+        )
         pending_reply.stream = stream
-        self.start_next_stream()
         return stream
 
     def abort_stream(self, pending_reply: PendingReply) -> bool:
         """Give up a large value; return whether a part of it was written."""
         stream = pending_reply.stream
         pending_reply.stream = None
+        self._count_written(pending_reply)
+        self.release_written()
         if stream is None or not stream.started:
             return False
         self._owner.active_streams -= 1
         return True
 
-    def start_next_stream(self) -> None:
-        """Start the large value whose turn it is, if there is one."""
+    def start_first_stream(self, has_commands_behind: bool) -> bool:
+        """Start the large value whose turn it is, if there is one that should be; return whether it was.
+
+        With commands behind it that is one for which there is no more room.
+        """
+        stream = self.first_stream()
+        if stream is None or stream.started or (has_commands_behind and not stream.is_out_of_room):
+            return False
+        self._transport.set_write_buffer_limits(high=self._owner.stream_started())
+        self._count_written(self.pending[0])
+        stream.start()
+        return True
+
+    def is_value_in_flow(self) -> bool:
+        """Return whether a part of a large value was written, and not all of it."""
         stream = self.first_stream()
-        if stream is not None and not stream.started:
-            self._transport.set_write_buffer_limits(high=self._owner.stream_started())
-            stream.start()
+        return stream is not None and stream.started
 
     def set_stream_paused(self, paused: bool) -> None:
         """Pause or resume the backend of the large value that is being written, if there is one."""
@@ -158,6 +219,8 @@
             if pending_reply.stream is not None and pending_reply.stream.started:
                 self._owner.active_streams -= 1
             pending_reply.stream = None
+            self._count_written(pending_reply)
             if pending_reply.reply is None:
                 unanswered.append(pending_reply.request_number)
+        self.release_written()
         return unanswered
