End a large value that stalls once its client's time is over

Cause: a value that has begun was waited for until 5 s had gone by without a byte, whatever its client's time, and one that trickles for ever. An answer half a second late is lost, and a stopping process waited for it until it was killed. Change: past the client's time a value in flow ends after 0.25 s without a byte, after 5 s in all, and before a stopping process would be killed; time in which the client takes nothing does not count. One that is held fails at the client's time, and its connection serves on.

--- a/qos_gateway/server/backend_connection.py
+++ b/qos_gateway/server/backend_connection.py
@@ -14,7 +14,7 @@
 from ..types import Outcome
 from .attempt import Attempt
 from .logs import RateLimitFilter
-from .response_receiver import ResponseReceiver
+from .response_receiver import RESPONSE_STALL_TIMEOUT_S, ResponseReceiver
 from .responses import AttemptResult
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
 log.addFilter(RateLimitFilter())
 
 RECEIVE_BUFFER_BYTES = 64 << 10  # of a response that the system keeps unread: what one read may bring
+MAX_OVERTIME_S = 5.0  # in which a large value may go on past the client's time; a stall ends it before
 STALE_RESET_WINDOW_S = 0.02  # after a request's last byte, over a round trip: a reset within it answers it
 
 
@@ -40,6 +41,7 @@
         "idle_before_request_s",
         "idle_since",
         "last_data_at",
+        "overtime_since",
         "owner",
         "paused",
         "pool",
@@ -64,6 +66,7 @@
         self.paused = False
         self.written_at = 0.0
         self.last_data_at = 0.0
+        self.overtime_since = 0.0  # from when on the client's time is over, 0 before; pauses do not count
         self.idle_since = 0.0  # 0 until its first response has come
         self.idle_before_request_s: float | None = None  # None on its first request
 
@@ -95,6 +98,7 @@
         attempt.connection = self
         self.attempt = attempt
         self.has_unsent = True
+        self.overtime_since = 0.0
         self.written_at = owner.time()
         if self.idle_since:
             self.idle_before_request_s = self.written_at - self.idle_since
@@ -221,19 +225,32 @@
         if self.timer is None:
             self.timer = self.owner.loop.call_later(self.responses.stall_timeout_s(), self._check_stall)
 
+    def limit_overtime(self) -> None:
+        """Wait no longer for a response that stalls: its client's time is over."""
+        self.overtime_since = self.owner.time()
+        self.cancel_timer()
+        self._check_stall()
+
     def _check_stall(self) -> None:
         """Fail a response that no longer comes; time in which the client takes nothing is not counted."""
         owner = self.owner
         now = owner.time()
         if self.paused:
             self.last_data_at = now
-        time_left_s = self.last_data_at + self.responses.stall_timeout_s() - now
+            self.overtime_since = now if self.overtime_since else 0.0
+        time_left_s = self._waits_until() - now
         if time_left_s > 0.0:
             self.timer = owner.loop.call_later(time_left_s, self._check_stall)
         else:
             self.timer = None
             self._fail_malformed("response stalled")
 
+    def _waits_until(self) -> float:
+        """Return until when a response that has begun is waited for if no more of it comes."""
+        if not self.overtime_since:
+            return self.last_data_at + self.responses.stall_timeout_s()
+        return min(self.last_data_at + RESPONSE_STALL_TIMEOUT_S, self.overtime_since + MAX_OVERTIME_S)
+
     def _fail_malformed(self, reason: str) -> None:
         """End the attempt, which may have been executed; nothing that follows here can be told apart."""
         attempt = cast(Attempt, self.attempt)
--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -169,6 +169,11 @@
         """Stop waiting: what never left the write buffer was not executed, anything else may have been."""
         self._abandon(attempt, Outcome.CONNECT_FAILED if self._is_unsent(attempt) else Outcome.TIMEOUT)
 
+    def limit_overtime(self, attempt: Attempt) -> None:
+        """Go on with a value that flows past its client's time only while more of it comes."""
+        if attempt.connection is not None:
+            attempt.connection.limit_overtime()
+
     def cancel_attempt(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt that is no longer needed."""
         self._abandon(attempt, Outcome.CANCELLED)
--- a/qos_gateway/server/open_requests.py
+++ b/qos_gateway/server/open_requests.py
@@ -37,6 +37,9 @@
     def expire_attempt(self, attempt: Attempt) -> None:
         """End an attempt whose time is over."""
 
+    def limit_overtime(self, attempt: Attempt) -> None:
+        """End an attempt whose value flows past the client's time once no more of it comes."""
+
     def cancel_unsent(self, attempt: Attempt) -> None:
         """End an attempt unless it has been written whole."""
 
@@ -209,12 +212,12 @@
     def on_deadline(self, number: int) -> None:
         """End the attempts of a request whose time is over, and answer it come what may."""
         request = self._requests[number]
-        if request.streaming_attempt is not None:
-            return  # its first bytes came in time, and a stalled value ends by a limit of its own
         time_left = request.deadline - self.clock()
         if time_left > 0:  # timers count in milliseconds and may come early
             request.timer = self._loop.call_later(time_left / SECOND, self.on_deadline, number)
             return
+        if request.streaming_attempt is not None and self._may_flow_on(number, request):
+            return
         for attempt in list(request.attempts_in_flight.values()):
             self._attempts.expire_attempt(attempt)
         if not request.closed:
@@ -222,6 +225,24 @@
             self.answer(number, request, TIMED_OUT_ANSWER, RequestResult.FAILED)
             self._handle(ClientDisconnected(number))
 
+    def _may_flow_on(self, number: int, request: OpenRequest) -> bool:
+        """Return whether a large value that has begun in time goes on past it, and limit for how long.
+
+        Of one that is held nothing was written, so that the client gets its failure in time. A process that
+        stops lets none go on until it would be killed.
+        """
+        attempt, stream = request.streaming_attempt, request.slot.stream
+        now = self.clock()
+        if attempt is None or stream is None or not stream.may_outlast_deadline():
+            return False
+        if now >= self.latest_deadline:
+            return False
+        self._attempts.limit_overtime(attempt)
+        if self.latest_deadline != NO_DEADLINE_NS and number in self._requests:
+            delay_s = (self.latest_deadline - now) / SECOND
+            request.timer = self._loop.call_later(delay_s, self.on_deadline, number)
+        return True
+
     def answer(self, number: int, request: OpenRequest, answer: bytes, result: RequestResult) -> None:
         """Give an open request its final answer, and count how it ended."""
         self._metrics.count_request(request.call.class_index, result)
--- a/qos_gateway/server/pending_replies.py
+++ b/qos_gateway/server/pending_replies.py
@@ -81,6 +81,10 @@
         self._client.write(b"".join((self._header, *buffered)))
         self.set_paused(self._client.blocked)
 
+    def may_outlast_deadline(self) -> bool:
+        """Return whether a part of it may have reached the client, or it waits for the client."""
+        return self.started or self.is_out_of_room
+
     def set_paused(self, paused: bool) -> None:
         """Pause or resume reading from the backend."""
         if paused:
--- a/tests/server/test_large_values.py
+++ b/tests/server/test_large_values.py
@@ -116,6 +116,78 @@
     run_on_loop(test)
 
 
+def test_value_that_trickles_past_the_clients_time_ends_all_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(backend_connection, "MAX_OVERTIME_S", 0.3)
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            client = await harness.connect_client()
+            client.send(call_command(wait_ms=300))
+            connection, _ = await harness.backend.next_command()
+            connection.send(success_reply(value(100_000))[:50_000])
+            end = asyncio.ensure_future(client.reader.read())
+            for _ in range(1000):
+                connection.send(b"x")
+                if end.done():
+                    break
+                await asyncio.sleep(0.02)
+            assert len(await with_timeout(end)) < 60_000
+
+    run_on_loop(test)
+
+
+@pytest.mark.parametrize("room", [True, False])
+def test_held_value_that_stalls_fails_in_time_and_its_connection_serves_on(room: bool) -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            if not room:
+                harness.gateway.clients.buffer_memory = 10_000
+            client = await harness.connect_client()
+            client.send(call_command(number=1, wait_ms=5000) + call_command(number=2, wait_ms=300))
+            held = {}
+            for _ in range(2):
+                connection, words = await harness.backend.next_command()
+                held[int(words[2], 16)] = connection
+            held[2].send(success_reply(value(100_000))[:80_000])
+            await asyncio.sleep(0.8)
+            held[1].send(success_reply(b"v"))
+            assert await client.next_message() == b"v"
+            if room:
+                assert isinstance(await client.next_message(), hiredis.ReplyError)
+                client.send(call_command(number=3))
+                connection, _ = await harness.backend.next_command()
+                connection.send(success_reply(b"w"))
+                assert await client.next_message() == b"w"
+            else:
+                assert await client.next_message() is None  # it had begun to flow
+            await wait_until(lambda: not harness.gateway.requests._requests)
+            assert harness.gateway.clients.held_bytes == 0
+
+    run_on_loop(test)
+
+
+def test_value_in_flow_ends_before_a_stopping_process_is_killed() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            requests = harness.gateway.requests
+            client = await harness.connect_client()
+            client.send(call_command(wait_ms=200))
+            connection, _ = await harness.backend.next_command()
+            requests.latest_deadline = requests.clock() + SECOND * 4 // 10
+            connection.send(success_reply(value(100_000))[:50_000])
+            end = asyncio.ensure_future(client.reader.read())
+            for _ in range(1000):
+                connection.send(b"x")
+                if end.done():
+                    break
+                await asyncio.sleep(0.02)
+            await with_timeout(end)
+            late = requests.clock() - requests.latest_deadline
+            assert 0 < late < backend_connection.MAX_OVERTIME_S * SECOND // 2
+
+    run_on_loop(test)
+
+
 @pytest.mark.parametrize("how", ["break", "malformed", "stall"])
 def test_value_that_breaks_off_ends_its_clients_connection_without_a_second_attempt(
     how: str, monkeypatch: pytest.MonkeyPatch
