Soak: large values, slow readers and requests with very little time

Order servers may answer with large values that stall, break off or trickle; clients may read nothing for a while, or leave very little time; what is over may be dropped without a word.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import re
 import sys
 import tempfile
 from collections import Counter
@@ -29,12 +30,23 @@
     parser.add_argument("--requests-per-s", type=float, default=12.0, help="at each gateway")
     parser.add_argument("--only", nargs="+", choices=[kind.value for kind in TroubleKind], default=None)
     parser.add_argument("--failing-calls", action="store_true", help="let system calls fail now and then")
+    parser.add_argument("--traces", action="store_true", help="show what was seen of broken requests")
     parser.add_argument("--logs", type=Path, default=None, help="folder for the gateways' logs")
     return parser.parse_args()
 
 
-def report(seed: int, verdict: Verdict, record: Record) -> str:
-    """Return the lines on one run."""
+def _trace(record: Record, text: str) -> list[str]:
+    """Return what clients and order servers saw of the request that a violation names."""
+    found = re.search(r"request=([0-9a-f]{16})", text)
+    if found is None:
+        return []
+    seen = [r for r in record.requests if r.request_id == found[1]]
+    attempts = [a for a in record.attempts if a.request_id == found[1]]
+    return [f"    {event}" for event in (*seen, *attempts)]
+
+
+def report(seed: int, verdict: Verdict, record: Record, traces: bool) -> str:
+    """Return the lines on one run; with `traces` also what was seen of the requests."""
     rules = Counter(violation.rule for violation in verdict.violations)
     levels = " ".join(f"{level.value}={count}" for level, count in sorted(verdict.levels.items(), key=str))
     worst_lag_s = max((lag.seconds for lag in record.lags), default=0.0)
@@ -49,6 +61,8 @@
         shown[violation.rule] += 1
         if shown[violation.rule] <= SHOWN_VIOLATIONS:
             lines.append(f"  {violation.at:.3f} {violation.rule.value}: {violation.text}")
+            if traces:
+                lines += _trace(record, violation.text)
     return "\n".join(lines)
 
 
@@ -71,7 +85,7 @@
             log_folder=None if arguments.logs is None else arguments.logs / str(seed),
         )
         verdict, record = uvloop.run(play(options))
-        print(report(seed, verdict, record), flush=True)
+        print(report(seed, verdict, record, arguments.traces), flush=True)
         failed += bool(verdict.violations)
     print(f"{len(arguments.seeds) - failed} of {len(arguments.seeds)} runs without a broken rule")
     return 1 if failed else 0
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -12,6 +12,7 @@
 
 from soak.gateways import Gateway, GatewayProcess
 from soak.observations import Answer, BadClientSeen, Record, RequestSeen
+from soak.order_servers import without_padding
 from soak.settings import LOCALHOST, Deployment, Effect
 
 CUSTOMERS = 40
@@ -20,6 +21,12 @@
 HEAVY_PLAN = 1
 PIPELINED_COMMANDS = 120
 LEAVERS = 6
+SLOW_READERS = 4
+SLOW_READER_COMMANDS = (1, 3, 12)
+MAX_READING_PAUSE_S = 1.5  # under the time for which gateways wait for clients
+READING_SLACK_S = 0.3  # after a pause, until all that waits is read
+IMPATIENT_REQUESTS = 30
+MAX_IMPATIENT_S = 0.04
 CROWD_CONNECTIONS = 250  # a gateway with 400 descriptors holds 168 clients
 BAD_CLIENT_PATIENCE_S = 6.0
 PIECE_GAP_S = 0.02
@@ -71,7 +78,7 @@
         self.answered_at = now
         seen.answered_at = now
         if isinstance(answer, bytes):
-            seen.answer, seen.value = Answer.SERVED, answer
+            seen.answer, seen.value = Answer.SERVED, without_padding(answer)
         elif isinstance(answer, hiredis.ReplyError) and str(answer).startswith("BUSY"):
             seen.answer = Answer.REJECTED
         else:
@@ -88,6 +95,10 @@
         """Note the end for all requests without an answer."""
         self.is_closed = True
         now = self._traffic.time()
+        if self.pending and self._reader.has_data() and self.pending[0].client_closed_at is None:
+            # A value that broke off: it has failed, and the client can tell.
+            broken_off = self.pending.popleft()
+            broken_off.answered_at, broken_off.answer = now, Answer.FAILED
         for seen in self.pending:
             if seen.client_closed_at is None:
                 seen.connection_ended_at = now
@@ -95,6 +106,18 @@
                 self._traffic.on_unanswered(self, seen)
         self.pending.clear()
 
+    def pause_reading(self, duration_s: float) -> None:
+        """Read nothing for a while; what waits then is the client's own doing."""
+        self.transport.pause_reading()
+        self._traffic.loop.call_later(duration_s, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not self.is_closed and not self.transport.is_closing():
+            self.transport.resume_reading()
+            self.answered_at = self._traffic.time() + READING_SLACK_S
+            for seen in self.pending:
+                seen.ready_at = max(seen.ready_at, self.answered_at)
+
     def leave(self) -> None:
         """Close under the requests."""
         now = self._traffic.time()
@@ -260,6 +283,27 @@
             self.loop.call_later(self._rng.choice((0.0, 0.001, 0.01, 0.05, 0.3)), connection.leave)
             await asyncio.sleep(PIECE_GAP_S)
 
+    async def read_slowly(self, gateway: int) -> None:
+        """Send several commands on a connection, and read nothing for a while."""
+        for _ in range(SLOW_READERS):
+            process = self._serving_process(gateway)
+            if process is None or (connection := await self._connect(gateway, process)) is None:
+                return
+            for _ in range(self._rng.choice(SLOW_READER_COMMANDS)):
+                self._send(connection, self._new_request(gateway, process.seen.number))
+            connection.pause_reading(self._rng.uniform(0.1, MAX_READING_PAUSE_S))
+
+    async def be_impatient(self, gateway: int) -> None:
+        """Send requests with so little time that some are over before an order server has done them."""
+        for _ in range(IMPATIENT_REQUESTS):
+            process = self._serving_process(gateway)
+            if process is None or (connection := await self._connect(gateway, process)) is None:
+                return
+            seen = self._new_request(gateway, process.seen.number)
+            seen.wait_s = self._rng.uniform(0.005, MAX_IMPATIENT_S)
+            self._send(connection, seen)
+            await asyncio.sleep(PIECE_GAP_S)
+
     async def crowd(self, gateway: int, duration_s: float) -> None:
         """Open more connections than the gateway holds, say nothing on them, and close them after a while."""
         process = self._serving_process(gateway)
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -22,15 +22,18 @@
 from qos_gateway.server import client_timeouts, endpoint_list
 from qos_gateway.server import gateway as gateway_module
 from qos_gateway.server.attempt import Attempt
+from qos_gateway.server.backend_connection import BackendConnection
 from qos_gateway.server.client_socket import ClientSocketProtocol
 from qos_gateway.server.config import load
 from qos_gateway.server.connection_pool import ConnectionPool
 from qos_gateway.server.gateway import GatewayProcess
 from qos_gateway.server.open_requests import OpenRequests
+from qos_gateway.server.pending_replies import ReplyQueue
 from qos_gateway.server.repeat_guard import RepeatGuard
 from qos_gateway.server.request_attempts import RequestAttempts
 from qos_gateway.server.send_guard import SendGuard
 from qos_gateway.server.start_guard import check_start
+from qos_gateway.server.watched_list import WatchedList
 from qos_gateway.state.endpoint import EndpointState
 from qos_gateway.state.quota_decision import QuotaDecision
 from qos_gateway.state.retry_budget import RetryBudget
@@ -172,6 +175,22 @@
     _patch(Quota, "decide", lambda *_: QuotaDecision.immediate(True))
 
 
+def pass_values_on_at_once() -> None:
+    """Let large values flow though other commands wait behind them."""
+    start = ReplyQueue.start_first_stream
+    _patch(ReplyQueue, "start_first_stream", lambda self, _: start(self, False))
+
+
+def wait_for_slow_values() -> None:
+    """Wait for a large value that has begun, however long its client's time is over."""
+    _patch(BackendConnection, "limit_overtime", _nothing)
+
+
+def believe_older_lists() -> None:
+    """Take an agent that lags at its word."""
+    _patch(WatchedList, "reconcile", lambda _, update: update)
+
+
 def crash() -> None:
     """End with an error after some seconds."""
     start = GatewayProcess.start
@@ -238,6 +257,9 @@
         ignore_reloads,
         skip_slow_start,
         ignore_ceilings,
+        pass_values_on_at_once,
+        wait_for_slow_values,
+        believe_older_lists,
         crash,
         stop_at_once,
         wait_for_bad_clients,
--- a/soak/order_servers.py
+++ b/soak/order_servers.py
@@ -22,6 +22,11 @@
 IDLE_CLOSE_S = 0.3
 MAX_REPEAT_DELAY_S = 0.003  # of a response that comes twice
 LATE_RESPONSE_S = 0.05  # after the end of a hang
+MIN_LARGE_BYTES, MAX_LARGE_BYTES = 66_000, 600_000
+PADDING = b"."
+PIECE_BYTES = 48_000
+PIECE_INTERVAL_S = 0.002
+TRICKLE_BYTES, TRICKLE_INTERVAL_S, TRICKLED_PIECES = 100, 0.1, 10
 
 PONG_REPLY = b"+PONG\r\n"
 OK_REPLY = b"+OK\r\n"
@@ -37,6 +42,12 @@
     return f"{request_id}/{server}".encode()
 
 
+def without_padding(value: bytes) -> bytes:
+    """Return the part of a large value that tells who made it for which request; others as they are."""
+    head, _, padding = value.rpartition(b"/")
+    return head if padding and not padding.strip(PADDING) else value
+
+
 def _success_reply(value: bytes) -> bytes:
     report = b"load_share=0.5,concurrent=3"
     return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (len(value), value, len(report), report)
@@ -309,7 +320,13 @@
         return self.has_fault(kind) and self._rng.random() < FAULT_PROBABILITY
 
     def _finish(self, connection: ServerConnection, seen: AttemptSeen) -> None:
-        reply = _success_reply(response_value(seen.request_id, self.number))
+        if self.time() - seen.last_byte_at > seen.wait_ms / 1000 and self._rng.random() < FAULT_PROBABILITY:
+            return  # over by now, and dropped without a word
+        value = response_value(seen.request_id, self.number)
+        if self._meets(TroubleKind.LARGE):
+            self._reply_large(connection, seen, value)
+            return
+        reply = _success_reply(value)
         if self._meets(TroubleKind.ERROR):
             reply = ERROR_REPLY
         if self.has_fault(TroubleKind.HANG):
@@ -321,6 +338,37 @@
         else:
             connection.reply(seen, reply)
 
+    def _reply_large(self, connection: ServerConnection, seen: AttemptSeen, value: bytes) -> None:
+        """Answer with a large value in pieces, which may stall, break off or trickle in the middle."""
+        size = self._rng.randint(MIN_LARGE_BYTES, MAX_LARGE_BYTES)
+        reply = _success_reply(value + b"/" + PADDING * (size - len(value) - 1))
+        what = self._rng.choices(("whole", "stall", "break", "trickle"), (5, 1, 1, 1))[0]
+        if what == "whole":
+            self._reply_in_pieces(connection, seen, reply, 0.0)
+            return
+        middle = self._rng.randint(100, len(reply) - 2 * TRICKLE_BYTES * TRICKLED_PIECES)
+        self._reply_in_pieces(connection, None, reply[:middle], 0.0)
+        if what == "break":
+            self.loop.call_later(self._rng.uniform(0.0, 0.1), connection.abort)
+        elif what == "trickle":
+            for n in range(TRICKLED_PIECES):
+                at = middle + n * TRICKLE_BYTES
+                piece = reply[at : at + TRICKLE_BYTES]
+                self.loop.call_later((n + 1) * TRICKLE_INTERVAL_S, connection.reply, None, piece)
+            rest = reply[middle + TRICKLED_PIECES * TRICKLE_BYTES :]
+            delay_s = (TRICKLED_PIECES + 1) * TRICKLE_INTERVAL_S
+            self._reply_in_pieces(connection, seen, rest, delay_s)
+
+    def _reply_in_pieces(
+        self, connection: ServerConnection, seen: AttemptSeen | None, reply: bytes, delay_s: float
+    ) -> None:
+        """Write a reply piece by piece; the attempt is over with the last of them, None for a part."""
+        for at in range(0, len(reply), PIECE_BYTES):
+            is_last = at + PIECE_BYTES >= len(reply)
+            piece = reply[at : at + PIECE_BYTES]
+            piece_delay_s = delay_s + at / PIECE_BYTES * PIECE_INTERVAL_S
+            self.loop.call_later(piece_delay_s, connection.reply, seen if is_last else None, piece)
+
     def _reply_malformed(self, connection: ServerConnection, seen: AttemptSeen, reply: bytes) -> None:
         what = self._rng.randrange(4)
         if what == 0:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -40,6 +40,7 @@
     CRASH = "crash"  # dies, and is back cold
     DRAIN = "drain"  # drains, and is back later
     REPLACE = "replace"  # one drains, and a new one joins cold
+    LARGE = "large"  # answers with large values, some of which stall, break off or trickle
     LOST_RESPONSE = "lost_response"  # answers no command of about two, on open connections
     MALFORMED = "malformed"  # malformed, broken off, repeated responses
     IDLE_CLOSE = "idle_close"  # closes idle connections early
@@ -47,6 +48,8 @@
     # Clients.
     PIPELINE = "pipeline"  # many commands at once
     LEAVE = "leave"  # clients close under their requests
+    SLOW_READER = "slow_reader"  # sends several commands, and reads no answer for a while
+    IMPATIENT = "impatient"  # sends requests with very little time
     HALF_COMMAND = "half_command"
     CROWD = "crowd"  # idle clients take all connections that there are
     GARBAGE = "garbage"
@@ -69,6 +72,8 @@
         TroubleKind.DISCOVERY_DOWN,
         TroubleKind.PIPELINE,
         TroubleKind.LEAVE,
+        TroubleKind.SLOW_READER,
+        TroubleKind.IMPATIENT,
         TroubleKind.HALF_COMMAND,
         TroubleKind.CROWD,
         TroubleKind.GARBAGE,
