--- a/soak/discovery_agents.py
+++ b/soak/discovery_agents.py
@@ -160,6 +160,7 @@
         self._lags_until = 0.0
         self._down_until = 0.0
         self.outages: list[tuple[float, float]] = []
+        self.lags: list[tuple[float, float]] = []
         self._server: asyncio.Server | None = None
         self.port = 0
         source.agents.append(self)
@@ -202,6 +203,7 @@
         """Have an older list for a while."""
         self._version = min(version, self._version)
         self._lags_until = self._loop.time() + duration_s
+        self.lags.append((self._loop.time(), self._lags_until))
         self._loop.call_later(duration_s, self.on_change)
 
     def close(self) -> None:
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -14,16 +14,20 @@
 from pathlib import Path
 
 from soak import call_shim
+from soak.addresses import free_tcp_address
 from soak.discovery_agents import (
     OLD_AGENT_CLOSES_AFTER_S,
     DiscoveryAgent,
     ListSource,
 )
-from soak.observations import ProcessSeen, Record
+from soak.observations import MaintenanceSeen, ProcessSeen, Record
+from soak.operators import call_operators
+from soak.order_servers import OrderServer
 from soak.settings import LOCALHOST, Addresses, Deployment, configuration
 
 READY_TIMEOUT_S = 30.0
 PING_INTERVAL_S = 0.05
+MAX_KNOWN_AGE = 8  # versions by which the list that a process starts with may be old
 KILL_AFTER_DEADLINE_S = 0.7  # over the longest deadline, after SIGTERM
 MAX_KILL_DEADLINE_S = 3.0  # of which it counts so much at most
 PAUSE_S = 0.14
@@ -48,8 +52,11 @@
 class GatewayProcess:
     """One process of a gateway."""
 
-    def __init__(self, seen: ProcessSeen, process: asyncio.subprocess.Process, log_path: Path) -> None:
+    def __init__(
+        self, seen: ProcessSeen, process: asyncio.subprocess.Process, log_path: Path, operators: str
+    ) -> None:
         self.seen = seen
+        self.operators = operators  # where it takes the operators' calls
         self.process = process
         self.port = 0
         self.takes_new_connections = False
@@ -127,7 +134,9 @@
         folder: Path,
         launch: Launch,
         seed: int,
+        peers: tuple[str, ...] = (),
     ) -> None:
+        """Take `peers` as the addresses for messages of all gateways, none where a counter is used."""
         self.position = position
         self.agents = [
             DiscoveryAgent(position, source, record, random.Random(f"agent {seed} {position} {n}"))
@@ -143,10 +152,14 @@
         self._path = folder / f"n{position}.json"
         self._log_path = folder / f"n{position}.log"
         self._counter = ""
+        self._peers = peers
+        self._operators = ""
+        self._rng = random.Random(f"gateway {seed} {position}")
         self._number = 0
         self._busy = False  # being started or stopped
         self._listening: socket.socket | None = None  # that the platform holds for its processes
-        if position % INHERITING_EVERY == INHERITING_EVERY - 1:
+        # Two processes at a time would want the address for messages.
+        if not peers and position % INHERITING_EVERY == INHERITING_EVERY - 1:
             self._listening = socket.create_server((LOCALHOST, 0), backlog=BACKLOG)
             self._listening.set_inheritable(True)
         self._waiters: set[asyncio.Task[None]] = set()
@@ -163,9 +176,9 @@
             await agent.start()
 
     def _configuration_text(self, known: bool) -> str:
-        version = self._source.version
+        version = max(1, self._source.version - self._rng.randrange(MAX_KNOWN_AGE))
         known_list = self._source.whole_list(version, self.position) if known else None
-        addresses = Addresses(self.agent.address, self._counter)
+        addresses = Addresses(self.agent.address, self._counter, self._operators, self._peers)
         seed = f"{self._seed:08x}{self.position:04x}{self._number:04x}"
         return json.dumps(configuration(self._deployment, self.position, addresses, known_list, seed))
 
@@ -179,8 +192,10 @@
         """Start a process and wait until it is ready."""
         loop = asyncio.get_running_loop()
         self._number += 1
+        self._operators = free_tcp_address()
         self._path.write_text(self._configuration_text(known))
         seen = ProcessSeen(self.position, self._number, loop.time())
+        seen.is_upgraded = self._listening is not None
         self._record.processes.append(seen)
         descriptors = () if self._listening is None else (self._listening.fileno(),)
         process = await asyncio.create_subprocess_exec(
@@ -195,7 +210,7 @@
                 "ROUTER_PASSED_SOCKET": "".join(map(str, descriptors)),
             },
         )
-        started = GatewayProcess(seen, process, self._log_path)
+        started = GatewayProcess(seen, process, self._log_path, self._operators)
         waiter = loop.create_task(started.wait())
         self._waiters.add(waiter)
         waiter.add_done_callback(self._waiters.discard)
@@ -259,10 +274,25 @@
         await asyncio.sleep(PAUSE_S)
         process.signal(signal.SIGCONT)
 
+    async def maintain(self, server: OrderServer, duration_s: float) -> None:
+        """Take an order server out of use for a while, as operators do."""
+        process = self.process
+        if process is None or not process.is_serving():
+            return
+        if not await call_operators(process.operators, "down", server.name):
+            return
+        seen = MaintenanceSeen(self.position, server.number, asyncio.get_running_loop().time())
+        self._record.maintenance.append(seen)
+        await asyncio.sleep(duration_s)
+        seen.up_at = asyncio.get_running_loop().time()
+        await call_operators((self.process or process).operators, "up", server.name)
+
     def reload(self, torn_first: bool = False) -> None:
         """Name the other agent in the configuration, and send SIGHUP."""
         process = self.process
-        if self._busy or process is None or not process.is_serving():
+        if process is None or not process.is_serving():
+            return
+        if self._busy and (process.seen.terminated_at is None or process.seen.is_upgraded):
             return
         loop = asyncio.get_running_loop()
         old = self.agent
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from itertools import pairwise
 
-from soak.judge_endpoints import check_drains, check_slow_starts
+from soak.judge_endpoints import check_drains, check_maintenance, check_slow_starts
 from soak.judge_quota import check_ceilings
 from soak.judge_timing import Timing
 from soak.observations import Answer, AttemptSeen, BadClientSeen, ProcessSeen, Record, RequestSeen
@@ -71,6 +71,7 @@
         violations += _check_repeats(deployment, kind, request_id, seen_attempts, timing)
     violations += _check_refusals(deployment, record, attempts)
     violations += check_drains(deployment, record, timing)
+    violations += check_maintenance(record, timing)
     violations += check_slow_starts(deployment, record)
     violations += check_ceilings(deployment, record, attempts)
     violations += _check_processes(record.processes)
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -21,6 +21,7 @@
 from qos_gateway.decisions.quota.base import Quota
 from qos_gateway.server import client_timeouts, endpoint_list
 from qos_gateway.server import gateway as gateway_module
+from qos_gateway.server.admin_operations import AdminOperations
 from qos_gateway.server.attempt import Attempt
 from qos_gateway.server.backend_connection import BackendConnection
 from qos_gateway.server.client_socket import ClientSocketProtocol
@@ -191,6 +192,15 @@
     _patch(WatchedList, "reconcile", lambda _, update: update)
 
 
+def forget_maintenance() -> None:
+    """Agree to the operators' calls, and do nothing."""
+
+    async def agree(*_: Any) -> bool:
+        return True
+
+    _patch(AdminOperations, "set_endpoint_disabled", agree)
+
+
 def crash() -> None:
     """End with an error after some seconds."""
     start = GatewayProcess.start
@@ -260,6 +270,7 @@
         pass_values_on_at_once,
         wait_for_slow_values,
         believe_older_lists,
+        forget_maintenance,
         crash,
         stop_at_once,
         wait_for_bad_clients,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -64,6 +64,7 @@
     exit_status: int | None = None
     paused: list[float] = field(default_factory=list)  # when it was stopped for a moment
     faults: list[str] = field(default_factory=list)  # lines of its log that tell of a fault
+    is_upgraded: bool = False  # the next process takes over its state before it ends
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +89,16 @@
     began_at: float
 
 
+@dataclass(slots=True)
+class MaintenanceSeen:
+    """An order server that operators took out of use at a gateway, and when they put it back."""
+
+    gateway: int
+    server: int
+    down_at: float  # the gateway had agreed
+    up_at: float | None = None  # it was asked to use it again
+
+
 @dataclass(frozen=True, slots=True)
 class BadClientSeen:
     """A client that sent no proper command: when it connected, and when it got an error or the end."""
@@ -117,6 +128,7 @@
     changes: list[ListChange] = field(default_factory=list)
     notifications: list[Notified] = field(default_factory=list)
     bad_clients: list[BadClientSeen] = field(default_factory=list)
+    maintenance: list[MaintenanceSeen] = field(default_factory=list)
     lags: list[Lag] = field(default_factory=list)
     troubles_end_at: float = 0.0
     ends_at: float = 0.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from soak.addresses import free_udp_addresses
 from soak.clients import GARBAGE, HALF_COMMAND, Traffic
 from soak.counter_server import CounterServer
 from soak.discovery_agents import (
@@ -78,8 +79,9 @@
         self.source = ListSource()
         self.servers: list[OrderServer] = []
         self.counter = CounterServer()
+        peers = free_udp_addresses(options.gateways) if self.deployment.peer_messages_per_s else ()
         self.gateways = [
-            Gateway(n, self.deployment, self.source, self.record, folder, options.launch, options.seed)
+            Gateway(n, self.deployment, self.source, self.record, folder, options.launch, options.seed, peers)
             for n in range(options.gateways)
         ]
         self.traffic = Traffic(self.deployment, self.gateways, self.record, options.seed)
@@ -248,6 +250,9 @@
                 max(1, self.source.version - LAGGING_VERSIONS)
             ),
             TroubleKind.PAUSE: gateway.pause,
+            TroubleKind.MAINTENANCE: lambda: gateway.maintain(
+                self._live_servers(Trouble(trouble.kind, 0.0, 0.0, (position,)))[0], trouble.duration_s
+            ),
             TroubleKind.WATCH_SILENT: gateway.agent.mute_watches,
             TroubleKind.WATCH_RESET: gateway.agent.reset_watches,
             TroubleKind.DISCOVERY_DOWN: lambda: gateway.agent.take_down(trouble.duration_s),
@@ -268,14 +273,15 @@
     def _note_deadlines(self) -> None:
         for gateway in self.gateways:
             starts = [
-                p.ready_at
+                self._informed_at(gateway, p.ready_at)
                 for p in self.record.processes
                 if p.gateway == gateway.position and p.ready_at is not None
             ]
             for _, change in self.source.changes:
                 at = self._reachable_at(gateway, change.at) + PROPAGATION_DEADLINE_S
+                # While discovery is down its agent is silent, and what it has at the end counts at once.
                 moves = [
-                    max(moved_at + PROPAGATION_DEADLINE_AFTER_MOVE_S, change.at)
+                    max(self._informed_at(gateway, moved_at + PROPAGATION_DEADLINE_AFTER_MOVE_S), change.at)
                     for moved_at in gateway.moved_at
                     if moved_at + PROPAGATION_DEADLINE_AFTER_MOVE_S >= change.at
                 ]
@@ -283,6 +289,14 @@
                 known_at = min([at, *moves, *later_starts])
                 self.record.notifications.append(gateway.agent.notified(change, known_at))
 
+    def _informed_at(self, gateway: Gateway, at: float) -> float:
+        """Return from when on a gateway counts as told of what its agents know: not while they are down."""
+        spans = [span for agent in gateway.agents for span in (*agent.outages, *agent.lags)]
+        for begin, end in sorted(spans):
+            if begin <= at < end:
+                at = end
+        return at
+
     def _reachable_at(self, gateway: Gateway, at: float) -> float:
         outages = sorted(outage for agent in gateway.agents for outage in agent.outages)
         for begin, end in outages:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -27,6 +27,7 @@
     RELOAD_SILENT = "reload_silent"  # SIGHUP to an agent whose first watch says nothing
     RELOAD_LAGGING = "reload_lagging"  # SIGHUP to an agent that still has the list of some seconds before
     PAUSE = "pause"  # held up for 0.14 s
+    MAINTENANCE = "maintenance"  # operators take an order server out of use for a while
     # Discovery.
     WATCH_SILENT = "watch_silent"
     WATCH_RESET = "watch_reset"
@@ -67,6 +68,7 @@
         TroubleKind.RELOAD_SILENT,
         TroubleKind.RELOAD_LAGGING,
         TroubleKind.PAUSE,
+        TroubleKind.MAINTENANCE,
         TroubleKind.WATCH_SILENT,
         TroubleKind.WATCH_RESET,
         TroubleKind.DISCOVERY_DOWN,
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -11,6 +11,7 @@
 LOCALHOST = "127.0.0.1"
 MEMORY_MB = 96
 DESCRIPTORS = 400
+PEER_MESSAGE_RATES = (0.0, 0.0, 40.0, 400.0)  # none, for owners of buckets, for gossip among two dozen
 MACHINE_CLASS = "m1"
 
 
@@ -65,6 +66,7 @@
     server_capacity: float  # requests a second that a warm order server completes
     work_s: float  # mean time that a request takes there
     requests_per_s: float  # that each gateway gets
+    peer_messages_per_s: float = 0.0  # with which gateways hold the quotas; 0 where a counter does
 
     @property
     def longest_deadline_s(self) -> float:
@@ -84,6 +86,7 @@
         RequestKind("pay", Effect.NOT_IDEMPOTENT, "all", 0.8, rng.choice((1.5, 2.5)), 0.0),
     )
     plans = (PlanTerms("team", 500.0, 1000.0), PlanTerms("volume", 8.0, 16.0, 12.0, 24.0, 3.0))
+    peers_rng = random.Random(f"peers {seed}")
     return Deployment(
         gateways=gateways,
         order_servers=order_servers,
@@ -100,6 +103,7 @@
         server_capacity=4.0 * requests_per_s * gateways / order_servers,
         work_s=rng.choice((0.01, 0.03)),
         requests_per_s=requests_per_s,
+        peer_messages_per_s=peers_rng.choice(PEER_MESSAGE_RATES),
     )
 
 
@@ -119,18 +123,18 @@
             "secondCopies": deployment.allows_hedging,
             "cancel": True,
             "probes": False,
-            "peerMessages": False,
+            "peerMessages": deployment.peer_messages_per_s > 0.0,
             "retryAfter": True,
             "maxRetryAfter": SECOND_NS,
             "connectTimeout": SECOND_NS // 4,
             "connIdle": 30 * SECOND_NS,
         },
         "familyInfo": {
-            "counter": True,
+            "counter": not deployment.peer_messages_per_s,
             "counterTimeout": 80_000_000,
             "usePeriod": 0,
             "largest": 1,
-            "mailPerS": 0.0,
+            "mailPerS": deployment.peer_messages_per_s,
             "truedUp": False,
         },
         "rules": {
@@ -176,24 +180,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Addresses:
-    """Where one gateway finds the others."""
+    """Where one gateway finds the others, and operators find it."""
 
     discovery: str
     counter: str
+    operators: str
+    peers: tuple[str, ...]  # of all gateways in the order of their numbers; none where a counter is used
 
 
 def configuration(
     deployment: Deployment, position: int, addresses: Addresses, known: dict[str, Any] | None, seed: str
 ) -> dict[str, Any]:
     """Return the content of one gateway's configuration file."""
+    quotas: dict[str, Any] = {"counter": addresses.counter, "peers": []}
+    if addresses.peers:
+        quotas = {"peers": list(addresses.peers), "peer_listen": addresses.peers[position]}
     return {
+        **quotas,
         "name": f"n{position}",
         "listen": f"{LOCALHOST}:0",
+        "operator": addresses.operators,
         "discovery": addresses.discovery,
-        "counter": addresses.counter,
         "seed": seed,
         "limits": {"cores": 1.0, "sockets": DESCRIPTORS, "memory_mb": MEMORY_MB},
-        "peers": [],
         "known": known,
         "settings": nested_settings(deployment, position),
     }
--- a/soak/violations.py
+++ b/soak/violations.py
@@ -18,6 +18,7 @@
     TOO_MANY_ATTEMPTS = "too_many_attempts"
     FALSE_REFUSAL = "false_refusal"
     DRAIN = "drain"
+    MAINTENANCE = "maintenance"
     SLOW_START = "slow_start"
     CEILING = "ceiling"
     CRASH = "crash"
