--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tomllib
 from pathlib import Path
@@ -13,6 +14,7 @@
 import pytest
 
 from qos_gateway.server import accept_drain
+from qos_gateway.server.listener import Listener
 from qos_gateway.types import Arrival, Send
 from tests.support.processes import launched, running
 from tests.support.scripted_engine import only_backend, script_engine
@@ -55,6 +57,35 @@
     run_on_loop(test)
 
 
+@pytest.mark.usefixtures("listener_closes_at_once")
+def test_connection_accepted_just_before_the_stop_is_served_however_late_its_protocol_knows_of_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connect = Listener._connect
+
+    async def connect_late(self: Listener, sock: socket.socket) -> None:
+        await asyncio.sleep(0.2)
+        await connect(self, sock)
+
+    monkeypatch.setattr(Listener, "_connect", connect_late)
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            clients = harness.gateway.clients
+            client = await harness.connect_client()
+            client.send(call_command(number=1))
+            await wait_until(
+                lambda: clients._listener is not None and clients._listener.connecting_count == 1
+            )
+            stopping = asyncio.create_task(harness.gateway.stop())
+            connection, _ = await harness.backend.next_command()
+            connection.send(success_reply(b"v"))
+            assert await client.next_message() == b"v"
+            stopping.cancel()
+
+    run_on_loop(test)
+
+
 @pytest.mark.usefixtures("listener_closes_at_once")
 def test_half_a_command_is_answered_and_not_reset_at_the_end() -> None:
     async def test() -> None:
--- a/tests/server/test_momentary_failures.py
+++ b/tests/server/test_momentary_failures.py
@@ -6,9 +6,12 @@
 import errno
 import json
 import os
+import resource
 import signal
 import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +27,7 @@
 from tests.server.test_admin import FakeAdminHandler
 from tests.support.processes import running
 from tests.support.servers import (
+    LOOPBACK,
     FakeBackend,
     FakeDiscovery,
     endpoint_entry,
@@ -81,6 +85,32 @@
     run_on_loop(test)
 
 
+@contextmanager
+def no_descriptors_left() -> Iterator[None]:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (3, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_operators_address_is_tried_again_where_no_socket_can_be_had_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The event loop tells of no error then: it returns a server without a socket."""
+    monkeypatch.setattr(admin, "BIND_RETRY_INTERVAL_S", 0.01)
+
+    async def test() -> None:
+        server = AdminServer((LOOPBACK, 0), FakeAdminHandler())
+        with no_descriptors_left():
+            await server.start()
+        await wait_until(lambda: server.port > 0)
+        server.close()
+
+    run_on_loop(test)
+
+
 def test_start_waits_for_a_configuration_that_cannot_be_read_for_a_moment(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
