Let the failing test of a stop after an accept ask whether the drain still waits

It passed as committed: the pools of a stopping process still open connections while the test's loop lives. It asks for the drain now, and fails.

--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -74,14 +74,15 @@
             clients = harness.gateway.clients
             client = await harness.connect_client()
             client.send(call_command(number=1))
-            await wait_until(
-                lambda: clients._listener is not None and clients._listener.connecting_count == 1
-            )
-            stopping = asyncio.create_task(harness.gateway.stop())
+            listener = clients._listener
+            assert listener is not None
+            await wait_until(lambda: listener.connecting_count == 1)
+            draining = asyncio.create_task(clients.drain())
             connection, _ = await harness.backend.next_command()
+            assert not draining.done()
             connection.send(success_reply(b"v"))
-            assert await client.next_message() == b"v"
-            stopping.cancel()
+            assert [await client.next_message(), await client.next_message()] == [b"v", None]
+            await with_timeout(draining)
 
     run_on_loop(test)
 
