Listen for operators on a socket of our own making, which tells where none can be had

Cause: uvloop's create_server skips an address whose socket() fails and returns a server without sockets; the start read the first of them and ended with a traceback. Any ENFILE, EMFILE, ENOBUFS or ENOMEM at that call crashed a gateway that has an operators' address. Change: the socket is made as the clients' is, so that the failure is an OSError, which is tried again.

--- a/qos_gateway/server/admin.py
+++ b/qos_gateway/server/admin.py
@@ -11,6 +11,7 @@
 from .admin_http import AdminRequest, HttpResponse
 from .admin_routes import AdminHandler, find_route
 from .config import Address
+from .listener import bound_socket
 from .logs import RateLimitFilter
 from .transient_errors import is_transient
 
@@ -76,12 +77,14 @@
         connection.answer(await result)
 
     async def _listen(self) -> None:
-        host, port = self._address
-        self._server = await self.loop.create_server(
-            lambda: AdminConnection(self), host, port, backlog=BACKLOG_CONNECTIONS
-        )
-        self.port = int(self._server.sockets[0].getsockname()[1])
-        log.info("admin_started address=%s:%d", host, self.port)
+        sock = bound_socket(self._address, BACKLOG_CONNECTIONS)
+        try:
+            self._server = await self.loop.create_server(lambda: AdminConnection(self), sock=sock)
+        except OSError:
+            sock.close()
+            raise
+        self.port = int(sock.getsockname()[1])
+        log.info("admin_started address=%s:%d", self._address[0], self.port)
 
     async def _retry_listening(self) -> None:
         while self._server is None:
--- a/qos_gateway/server/listener.py
+++ b/qos_gateway/server/listener.py
@@ -35,10 +35,13 @@
     return None
 
 
-def bound_socket(address: Address) -> socket.socket:
-    """Return a new socket that listens on the address; raise OSError where that is not possible."""
+def bound_socket(address: Address, backlog: int | None = None) -> socket.socket:
+    """Return a new socket that listens on the address; raise OSError where that is not possible.
+
+    The event loop's own call tells of no error where no socket can be had.
+    """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    return socket.create_server(address, family=family)
+    return socket.create_server(address, family=family, backlog=backlog)
 
 
 class Listener:
