Let a drain wait for connections that are accepted and not known to a protocol yet

Change: the listener outlives its socket and its count of such connections is part of what the drain waits for.

--- a/qos_gateway/server/accept_drain.py
+++ b/qos_gateway/server/accept_drain.py
@@ -37,7 +37,7 @@
         Clients with open requests are waited for: each request ends with its deadline.
         """
         clients = self._clients
-        while clients.is_listening() or clients.connection_count():
+        while clients.is_listening() or clients.has_connections():
             now = clients.time()
             if clients.is_listening() and self._is_accepting_over(now):
                 self._stop_listening()
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -121,8 +121,7 @@
 
     def _has_capacity(self) -> bool:
         """Return whether one more connection can be accepted, after evicting another one if need be."""
-        count = self.connection_count() + cast(Listener, self._listener).connecting_count
-        if count < self.max_connections:
+        if self.connection_count() + self._connecting_count() < self.max_connections:
             return True
         client = next(self._evictable(self.time()), None)
         if client is None:
@@ -171,6 +170,14 @@
         """Count the open connections."""
         return len(self._connections) + len(self._new_connections)
 
+    def _connecting_count(self) -> int:
+        """Count the connections that are accepted and not known to their protocols yet."""
+        return 0 if self._listener is None else self._listener.connecting_count
+
+    def has_connections(self) -> bool:
+        """Return whether any connection is open, known to its protocol or not."""
+        return bool(self.connection_count() + self._connecting_count())
+
     def connection_opened(self, client: ClientConnection) -> None:
         """Add a connection."""
         self.last_connected_at = self.time()
@@ -195,7 +202,7 @@
 
     def is_listening(self) -> bool:
         """Return whether the listening socket is open."""
-        return self._listener is not None
+        return self._listener is not None and self._listener.is_open
 
     def is_accepting(self) -> bool:
         """Return whether clients that connect are served."""
@@ -209,7 +216,6 @@
         """Close the listening socket."""
         if self._listener is not None:
             self._listener.close()
-            self._listener = None
 
     async def drain(self) -> None:
         """Accept until new connections cease, answer all requests, and close what is idle."""
--- a/qos_gateway/server/listener.py
+++ b/qos_gateway/server/listener.py
@@ -68,6 +68,7 @@
         self._queue.register(sock.fileno(), select.POLLIN)
         self._full_since: float | None = None  # when a connection first had to wait for capacity
         self._resume_timer: asyncio.TimerHandle | None = None
+        self.is_open = True
         self._start_accepting()
 
     @property
@@ -82,10 +83,13 @@
 
     def has_waiting(self) -> bool:
         """Return whether a connection waits to be accepted."""
-        return bool(self._queue.poll(0))
+        return self.is_open and bool(self._queue.poll(0))
 
     def close(self) -> None:
         """Close the socket; the system resets the connections that still wait on it."""
+        if not self.is_open:
+            return
+        self.is_open = False
         if self._resume_timer is not None:
             self._resume_timer.cancel()
         self._loop.remove_reader(self._sock.fileno())
