Write all that a client is owed before its half-closed connection ends

Cause: after a protocol error a connection ended 0.75 s after its last reply was handed to the transport, and what the client had not taken by then was dropped, replies to its earlier requests with it. Change: it ends once all is written, or the client has taken nothing for 2 s.

--- a/qos_gateway/server/client_socket.py
+++ b/qos_gateway/server/client_socket.py
@@ -79,13 +79,21 @@
 class ClientSocketProtocol(asyncio.Protocol):
     """What a connection does whatever is sent on it: it reads, is written to, blocks, and ends."""
 
-    __slots__ = ("_hangup_poll", "_is_reading", "_transport", "_write_progress", "half_close_ends_at")
+    __slots__ = (
+        "_final_write_progress",
+        "_hangup_poll",
+        "_is_reading",
+        "_transport",
+        "_write_progress",
+        "half_close_ends_at",
+    )
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport  # from `connection_made` on
         self._hangup_poll: select.poll | None = None
         self._is_reading = True
         self._write_progress = WriteProgress()
+        self._final_write_progress = WriteProgress()  # from the half-close on
         self.half_close_ends_at = 0.0  # 0 before the half-close
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,4 +152,13 @@
         """
         if not self.half_close_ends_at and not self._transport.is_closing():
             self.half_close_ends_at = now + HALF_CLOSE_TIMEOUT_S
+            self._final_write_progress.block(now, untaken_bytes(self._transport))
             self._transport.write_eof()
+
+    def is_half_close_over(self, now: float, stall_timeout_s: float) -> bool:
+        """Return whether a half-closed connection may be closed: its replies are written, or not taken."""
+        if now < self.half_close_ends_at:
+            return False
+        untaken = untaken_bytes(self._transport)
+        is_written = not self._transport.get_write_buffer_size()
+        return is_written or self._final_write_progress.is_stalled(now, untaken, stall_timeout_s)
--- a/qos_gateway/server/client_timeouts.py
+++ b/qos_gateway/server/client_timeouts.py
@@ -16,14 +16,14 @@
 
 def enforce_timeouts(client: ClientConnection, now: float, connections_scarce: bool) -> None:
     """End a connection that has been in its state for too long."""
-    if client.blocked:
+    if client.half_close_ends_at:
+        if client.is_half_close_over(now, WRITE_STALL_TIMEOUT_S):
+            client.abort(CloseReason.PROTOCOL_ERROR)
+    elif client.blocked:
         timeout_s = LARGE_WRITE_STALL_TIMEOUT_S if client.is_writing_large_value() else WRITE_STALL_TIMEOUT_S
         if client.is_write_stalled(now, timeout_s):
             log.warning("client_write_stalled timeout_s=%.1f", timeout_s)
             client.abort(CloseReason.WRITE_STALLED)
-    elif client.half_close_ends_at:
-        if now >= client.half_close_ends_at:
-            client.abort(CloseReason.PROTOCOL_ERROR)
     elif client.commands.partial_since and client.is_reading:
         # Before its first command a client's time runs from connecting on.
         started_at = client.commands.partial_since if client.has_sent_command else client.idle_since
