Failing tests: eviction in the middle of a command, and checks at intervals that fail

- A connection in the middle of a command gives way to another though the rest lies in its socket, unread while the process was held up (by reading).

--- a/tests/server/test_client_connections.py
+++ b/tests/server/test_client_connections.py
@@ -447,3 +447,23 @@
                 assert received.startswith(b"$60000\r\n" + value + b"\r\n-ERR Protocol error")
 
     run_on_loop(test)
+
+
+def test_command_whose_rest_lies_unread_does_not_give_way_to_another_connection() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            clients = harness.gateway.clients
+            command = call_command()
+            with closing(socket.create_connection(("127.0.0.1", clients.port))) as sock:
+                sock.sendall(command[:30])
+                await wait_until(lambda: any(c.commands.is_midway for c in clients.connections()))
+                (client,) = clients.connections()
+                client.commands.partial_since -= 1.0
+                clients.max_connections = 1
+                sock.sendall(command[30:])  # the loop has not turned since
+                assert not clients._has_capacity()
+                connection, _ = await harness.backend.next_command()
+                connection.send(success_reply(b"v"))
+                assert await asyncio.to_thread(sock.recv, 100) == b"$1\r\nv\r\n"
+
+    run_on_loop(test)
--- /dev/null
+++ b/tests/server/test_periodic_checks.py
@@ -0,0 +1,63 @@
+"""Checks at intervals go on whatever one of them meets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from qos_gateway.server import client_connections
+from tests.support.servers import FakeCounter, gateway_harness, listening, run_on_loop
+
+
+def fail(*_: Any) -> None:
+    raise OSError("for a moment")
+
+
+@pytest.mark.parametrize("owner", ["clients", "backends", "counter", "hangup monitor"])
+def test_a_check_that_fails_is_made_again(owner: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A time-out that nobody looks for any more would hold connections, memory and requests for good."""
+
+    async def test() -> None:
+        counter = FakeCounter()
+        async with (
+            listening(counter),
+            gateway_harness(
+                f"127.0.0.1:{counter.port}", familyInfo__counter=True, familyInfo__counterTimeout=80_000_000
+            ) as harness,
+        ):
+            gateway = harness.gateway
+            await harness.connect_client()
+            while not gateway.clients.connections():
+                await asyncio.sleep(0.001)
+            (client,) = gateway.clients.connections()
+            assert gateway.counter is not None
+            checked: Any = {
+                "clients": gateway.clients,
+                "backends": gateway.backends,
+                "counter": gateway.counter,
+                "hangup monitor": gateway.clients.hangup_monitor,
+            }[owner]
+            if owner == "hangup monitor":
+                checked.set_watched(client, True)
+            name, check = {
+                "clients": ("_check_timer", "_check_timeouts"),
+                "backends": ("_sweep_timer", "_sweep"),
+                "counter": ("_check_timer", "_check"),
+                "hangup monitor": ("_timer", "_check"),
+            }[owner]
+            monkeypatch.setattr(client_connections, "enforce_timeouts", fail)
+            monkeypatch.setattr(gateway.backends.keep_alive, "decay", fail)
+            monkeypatch.setattr(gateway.counter._connections, "check", fail)
+            monkeypatch.setattr(type(client), "has_hung_up", fail)
+            getattr(checked, name).cancel()
+            with pytest.raises(OSError, match="for a moment"):
+                getattr(checked, check)()
+            timer = getattr(checked, name)
+            assert timer is not None
+            assert not timer.cancelled()
+            assert timer.when() > asyncio.get_running_loop().time()
+            monkeypatch.undo()
+
+    run_on_loop(test)
