Keep a connection whose command may have come whole, though only a part of it is read

Of one whose rest lay in the socket, unread while the process was held up, the request was closed with no answer. Change: such a connection gives way only where its socket holds nothing unread.

--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -88,6 +88,10 @@
         busy = self.is_awaiting_replies() or self._is_parsing or self.commands.is_midway or self._closing
         return not (busy or self._transport.is_closing() or has_unread_bytes(self._transport))
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether the socket holds bytes that were not read."""
+        return not self._transport.is_closing() and has_unread_bytes(self._transport)
+
     def is_awaiting_replies(self) -> bool:
         """Return whether a command waits for its reply, or to be parsed."""
         return bool(self._replies.pending or self._deferred.data)
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -141,7 +141,8 @@
             if now - client.idle_since >= MIN_IDLE_BEFORE_EVICTION_S and client.is_idle():
                 yield client
         for client in clients:
-            if client.partial_command_age(now) >= MIN_PARTIAL_BEFORE_EVICTION_S:
+            is_old = client.partial_command_age(now) >= MIN_PARTIAL_BEFORE_EVICTION_S
+            if is_old and not client.has_unread_bytes():  # the rest of the command may have come
                 yield client
 
     def stream_started(self) -> int:
