--- a/qos_gateway/server/activity_log.py
+++ b/qos_gateway/server/activity_log.py
@@ -45,6 +45,7 @@
             self._timer.cancel()
 
     def _write(self, sources: ActivitySources) -> None:
+        self.start(sources)
         log.info(
             "activity attempts=%s counter=%s requests=%d client_connections=%d "
             "backend_connections=%d backend_connections_idle=%d",
@@ -57,7 +58,6 @@
         )
         self.attempt_outcomes.clear()
         self.counter_outcomes.clear()
-        self.start(sources)
 
 
 def _format_outcomes(outcomes: Counter[Outcome]) -> str:
--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -140,13 +140,13 @@
 
     def _sweep(self) -> None:
         """Close expired connections and forget drained pools, once a second."""
+        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.keep_alive.decay()
         now = self.time()
         for backend, pool in list(self._pools.items()):
             pool.close_expired(now)
             if pool.is_drained(now):
                 del self._pools[backend]
-        self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     # Attempts.
 
--- a/qos_gateway/server/client_connections.py
+++ b/qos_gateway/server/client_connections.py
@@ -155,11 +155,11 @@
         self._check_timer = self._call_later(CHECK_INTERVAL_S, self._check_timeouts)
 
     def _check_timeouts(self) -> None:
+        self._schedule_timeout_check()
         now = self.time()
         connections_scarce = self.connection_count() > SCARCE_FRACTION * self.max_connections
         for client in self.connections():
             enforce_timeouts(client, now, connections_scarce)
-        self._schedule_timeout_check()
 
     # The set of connections.
 
--- a/qos_gateway/server/counter.py
+++ b/qos_gateway/server/counter.py
@@ -176,8 +176,8 @@
     # Checks at intervals.
 
     def _check(self) -> None:
-        self._connections.check(self._timeout_s)
         self._schedule_check()
+        self._connections.check(self._timeout_s)
 
     def _schedule_check(self) -> None:
         self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/qos_gateway/server/hangup_monitor.py
+++ b/qos_gateway/server/hangup_monitor.py
@@ -35,14 +35,15 @@
         """Stop checking."""
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
 
     def _schedule_check(self) -> None:
         self._timer = self._loop.call_later(HANGUP_CHECK_INTERVAL_S, self._check)
 
     def _check(self) -> None:
-        self._timer = None
+        self._schedule_check()
         for client in list(self._watched):
             if not client.is_closing() and client.has_hung_up():
                 client.abort(CloseReason.HANGUP_SEEN)
-        if self._watched:
-            self._schedule_check()
+        if not self._watched:
+            self.close()
