Soak: accept all that waits at once, and 256, 400 or 1,024 descriptors a gateway

Change: order servers accept all that waits; the deployment draws how many descriptors a gateway has.

--- a/soak/order_servers.py
+++ b/soak/order_servers.py
@@ -150,15 +150,17 @@
         self._loop.add_reader(self._sock.fileno(), self._accept)
 
     def _accept(self) -> None:
-        try:
-            sock, _ = self._sock.accept()
-        except OSError:
-            return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setblocking(False)
-        task = self._loop.create_task(self._connect(sock))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        """Accept all that wait: one a turn of the loop would make the last of many late."""
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setblocking(False)
+            task = self._loop.create_task(self._connect(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     async def _connect(self, sock: socket.socket) -> None:
         try:
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -10,7 +10,7 @@
 SECOND_NS = 1_000_000_000
 LOCALHOST = "127.0.0.1"
 MEMORY_MB = 96
-DESCRIPTORS = 400
+DESCRIPTORS = (256, 400, 1024)  # for one gateway
 PEER_MESSAGE_RATES = (0.0, 0.0, 40.0, 400.0)  # none, for owners of buckets, for gossip among two dozen
 MACHINE_CLASS = "m1"
 
@@ -66,6 +66,7 @@
     server_capacity: float  # requests a second that a warm order server completes
     work_s: float  # mean time that a request takes there
     requests_per_s: float  # that each gateway gets
+    descriptors: int = 400
     peer_messages_per_s: float = 0.0  # with which gateways hold the quotas; 0 where a counter does
 
     @property
@@ -86,7 +87,7 @@
         RequestKind("pay", Effect.NOT_IDEMPOTENT, "all", 0.8, rng.choice((1.5, 2.5)), 0.0),
     )
     plans = (PlanTerms("team", 500.0, 1000.0), PlanTerms("volume", 8.0, 16.0, 12.0, 24.0, 3.0))
-    peers_rng = random.Random(f"peers {seed}")
+    limits_rng = random.Random(f"limits {seed}")
     return Deployment(
         gateways=gateways,
         order_servers=order_servers,
@@ -103,7 +104,8 @@
         server_capacity=4.0 * requests_per_s * gateways / order_servers,
         work_s=rng.choice((0.01, 0.03)),
         requests_per_s=requests_per_s,
-        peer_messages_per_s=peers_rng.choice(PEER_MESSAGE_RATES),
+        descriptors=limits_rng.choice(DESCRIPTORS),
+        peer_messages_per_s=limits_rng.choice(PEER_MESSAGE_RATES),
     )
 
 
@@ -202,7 +204,7 @@
         "operator": addresses.operators,
         "discovery": addresses.discovery,
         "seed": seed,
-        "limits": {"cores": 1.0, "sockets": DESCRIPTORS, "memory_mb": MEMORY_MB},
+        "limits": {"cores": 1.0, "sockets": deployment.descriptors, "memory_mb": MEMORY_MB},
         "known": known,
         "settings": nested_settings(deployment, position),
     }
