Failing tests: a gateway's own shortage counts against order servers

Cause: a connect that fails for lack of descriptors, and an attempt that the limit on connections keeps back, end as CONNECT_FAILED, which ejects the endpoint for 0.5 s and more. Either meets all endpoints alike: an upgrade beside servers that hang, where the next process has few connections, would eject those that answer.

--- a/tests/server/test_connection_pool.py
+++ b/tests/server/test_connection_pool.py
@@ -7,6 +7,7 @@
 import struct
 from contextlib import closing
 
+import hiredis
 import pytest
 
 from qos_gateway.server import connection_pool
@@ -14,9 +15,12 @@
 from qos_gateway.server.keep_alive import KeepAliveEstimator
 from qos_gateway.types import Outcome
 from tests.support.backend_harness import backend_harness
+from tests.support.descriptors import no_descriptors_left
 from tests.support.servers import (
     LOOPBACK,
     FakeBackend,
+    call_command,
+    gateway_harness,
     listening,
     run_on_loop,
     success_reply,
@@ -304,3 +308,41 @@
             assert now <= pool.drain_ends_at <= max(now, now + grace_s - 0.15)
 
     run_on_loop(test)
+
+
+def test_lack_of_descriptors_is_not_held_against_the_backend() -> None:
+    """It fails for all alike, and all of them would be ejected."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            client = await harness.connect_client()
+            client.send(b"*1\r\n$4\r\nPING\r\n")
+            assert await client.next_message() == b"PONG"
+            with no_descriptors_left():
+                client.send(call_command(number=1))
+                assert isinstance(await client.next_message(), hiredis.ReplyError)
+            client.send(call_command(number=2))
+            connection, _ = await harness.backend.next_command()
+            connection.send(success_reply(b"v"))
+            assert await client.next_message() == b"v"
+
+    run_on_loop(test)
+
+
+def test_limit_on_connections_is_not_held_against_the_backend() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            harness.gateway.backends.limit(1)
+            client, other = await harness.connect_client(), await harness.connect_client()
+            client.send(call_command(number=1))
+            connection, _ = await harness.backend.next_command()
+            other.send(call_command(number=2))
+            assert isinstance(await other.next_message(), hiredis.ReplyError)
+            connection.send(success_reply(b"v"))
+            assert await client.next_message() == b"v"
+            other.send(call_command(number=3))
+            connection, _ = await harness.backend.next_command()
+            connection.send(success_reply(b"w"))
+            assert await other.next_message() == b"w"
+
+    run_on_loop(test)
--- a/tests/server/test_momentary_failures.py
+++ b/tests/server/test_momentary_failures.py
@@ -6,12 +6,9 @@
 import errno
 import json
 import os
-import resource
 import signal
 import socket
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +22,7 @@
 from qos_gateway.server.handover_channel import HandoverChannel
 from qos_gateway.server.transient_errors import RETRY_INTERVAL_S
 from tests.server.test_admin import FakeAdminHandler
+from tests.support.descriptors import no_descriptors_left
 from tests.support.processes import running
 from tests.support.servers import (
     LOOPBACK,
@@ -85,16 +83,6 @@
     run_on_loop(test)
 
 
-@contextmanager
-def no_descriptors_left() -> Iterator[None]:
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (3, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 def test_operators_address_is_tried_again_where_no_socket_can_be_had_for_a_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
