Hold a gateway's own shortage of connections against no order server

Cause: a connect that failed for lack of descriptors, memory or ports, and an attempt kept back by the limit on connections, ended as CONNECT_FAILED, which ejects the endpoint at once, for longer each time. Change: both end as not sent: the request goes elsewhere or is rejected, and the endpoint stays in use.

--- a/qos_gateway/server/backends.py
+++ b/qos_gateway/server/backends.py
@@ -187,6 +187,10 @@
         """End an attempt that was certainly not executed."""
         self.finish_attempt(attempt, AttemptResult.without_response(Outcome.CONNECT_FAILED))
 
+    def not_sent(self, attempt: Attempt) -> None:
+        """End an attempt that this gateway did not make: nothing is known of the backend."""
+        self.finish_attempt(attempt, AttemptResult.without_response(Outcome.NOT_SENT))
+
     def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         """End an attempt, in this one place; what comes second, as a late failure, is ignored."""
         if attempt.ended:
--- a/qos_gateway/server/connection_pool.py
+++ b/qos_gateway/server/connection_pool.py
@@ -9,6 +9,7 @@
 from .backend_connection import BackendConnection
 from .config import Address
 from .responses import AttemptResult
+from .transient_errors import is_shortage
 
 if TYPE_CHECKING:
     from .backends import BackendConnections
@@ -46,8 +47,8 @@
         elif self.owner.ensure_capacity():
             self._open(attempt)
         else:
-            # Out of descriptors: reported as what it is, a connection that never came up.
-            self.owner.loop.call_soon(self.owner.connect_failed, attempt)
+            # This gateway lacks the descriptors, whatever the backend does.
+            self.owner.loop.call_soon(self.owner.not_sent, attempt)
 
     def acquire(self) -> BackendConnection | None:
         """Take the connection out that became idle last; close those on the way that can't be used."""
@@ -115,8 +116,8 @@
     async def _connect(self, connection: BackendConnection) -> None:
         try:
             await self.owner.loop.create_connection(lambda: connection, *self.address)
-        except OSError:
-            self._connect_failed(connection)
+        except OSError as error:
+            self._close_unused(connection, Outcome.NOT_SENT if is_shortage(error) else Outcome.CONNECT_FAILED)
 
     def _connect_failed(self, connection: BackendConnection) -> None:
         """End the attempt of a connection that was refused or too late: it was certainly not executed."""
--- a/qos_gateway/server/transient_errors.py
+++ b/qos_gateway/server/transient_errors.py
@@ -16,6 +16,8 @@
 TRANSIENT_ERRNOS = frozenset(
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EINTR, errno.EIO}
 )
+# What this machine lacks for a connection, whoever it would lead to.
+SHORTAGE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 RETRY_INTERVAL_S = 0.05
 START_RETRY_TIME_S = 5.0  # at the start of a process, which has to be ready within 10 s
 
@@ -25,6 +27,11 @@
     return error.errno in TRANSIENT_ERRNOS
 
 
+def is_shortage(error: OSError) -> bool:
+    """Return whether a connect failed for lack of descriptors, memory or ports, whatever the peer does."""
+    return error.errno in SHORTAGE_ERRNOS
+
+
 async def retry_transient(
     call: Callable[[], Awaitable[Result]], time_s: float = START_RETRY_TIME_S
 ) -> Result:
