Soak: commands with bodies and in pieces, which have to reach order servers unchanged

Nobody looked whether a command that reaches an order server is the one that its client sent. Requests have bodies of up to 60 kB now, one in ten comes in three pieces, and the judge compares all but the deadline.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,7 +11,7 @@
 import hiredis
 
 from soak.gateways import Gateway, GatewayProcess
-from soak.observations import Answer, BadClientSeen, Record, RequestSeen
+from soak.observations import Answer, BadClientSeen, Record, RequestSeen, content_of
 from soak.order_servers import without_padding
 from soak.settings import LOCALHOST, Deployment, Effect
 
@@ -30,6 +30,8 @@
 CROWD_CONNECTIONS = 250  # a gateway with 400 descriptors holds 168 clients, with 256 it holds 96
 BAD_CLIENT_PATIENCE_S = 6.0
 PIECE_GAP_S = 0.02
+IN_PIECES_SHARE = 0.1  # of the usual requests
+BODY_BYTES = (0, 200, 200, 2000, 60_000)  # at most
 KIND_WEIGHTS = (6, 3, 2)
 HALF_COMMAND = b"*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000"
 GARBAGE = b"GET / HTTP/1.1\r\nHost: gateway\r\n\r\n"
@@ -188,8 +190,14 @@
             f"units=1,spread={self._deployment.gateways},first=0"
         )
         name = b"CALL.GET" if kind.effect is Effect.IDEMPOTENT else b"CALL.POST"
-        words = (name, b"%016x" % (seen.customer + 1), seen.request_id.encode(), pairs.encode())
-        return hiredis.pack_command(words)  # type: ignore[no-any-return,arg-type]
+        body = () if kind.effect is Effect.IDEMPOTENT else (self._body(),)
+        words = (name, b"%016x" % (seen.customer + 1), seen.request_id.encode(), pairs.encode(), *body)
+        seen.content = content_of(words)
+        return hiredis.pack_command(words)  # type: ignore[no-any-return]
+
+    def _body(self) -> bytes:
+        size = self._rng.choice(BODY_BYTES)
+        return self._rng.randbytes(self._rng.randrange(size + 1))
 
     async def _send_one(self, gateway: int, process: GatewayProcess) -> None:
         connection = self._take_idle(process)
@@ -197,7 +205,22 @@
             connection = await self._connect(gateway, process)
         if connection is None or connection.is_closed:
             return
-        self._send(connection, self._new_request(gateway, process.seen.number))
+        seen = self._new_request(gateway, process.seen.number)
+        if self._rng.random() < IN_PIECES_SHARE:
+            await self._send_in_pieces(connection, seen)
+        else:
+            self._send(connection, seen)
+
+    async def _send_in_pieces(self, connection: ClientConnection, seen: RequestSeen) -> None:
+        """Send a request in three pieces; its time counts from the last of them."""
+        command = self._command(seen, seen.wait_s)
+        ends = sorted(self._rng.sample(range(1, len(command)), 2))
+        for begin, end in zip((0, *ends), ends, strict=False):
+            connection.transport.write(command[begin:end])
+            await asyncio.sleep(PIECE_GAP_S)
+        if not connection.is_closed and not connection.transport.is_closing():
+            self._record.requests.append(seen)
+            connection.send(seen, command[ends[-1] :])
 
     def _send(self, connection: ClientConnection, seen: RequestSeen) -> None:
         self._record.requests.append(seen)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -170,6 +170,9 @@
             late_s = attempt.first_byte_at - left_at
             text = f"attempt {late_s:.3f} after the client left request={seen.request_id}"
             found.append(Violation(Rule.CLIENT_LEFT, attempt.first_byte_at, text))
+        if attempt.content != seen.content:
+            text = f"command was changed request={seen.request_id} gateway={seen.gateway}"
+            found.append(Violation(Rule.ALTERED, attempt.last_byte_at, text))
         time_left_s = seen.sent_at + seen.wait_s - attempt.last_byte_at
         over_s = attempt.wait_ms / 1000 - time_left_s
         if over_s > DEADLINE_SLACK_S + slack_s:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -109,6 +109,17 @@
     _patch(Attempt, "payload", lambda self, now: payload(self, now - SECOND))
 
 
+def alter_commands() -> None:
+    """Send order servers the customer's number in other letters."""
+    payload = Attempt.payload
+
+    def alter(self: Attempt, now: int) -> bytes:
+        customer = self.command.command_start[1]
+        return payload(self, now).replace(customer, customer.upper().replace(b"0", b"F"), 1)
+
+    _patch(Attempt, "payload", alter)
+
+
 def repeat_everything() -> None:
     """Send again what may not be repeated."""
     _patch(RequestClass, "is_repeatable", property(_yes))
@@ -259,6 +270,7 @@
         mix_values_up,
         ignore_leaving,
         promise_too_much_time,
+        alter_commands,
         repeat_everything,
         invite_every_repeat,
         try_without_end,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from hashlib import blake2b
 
 
 class Answer(Enum):
@@ -14,6 +16,12 @@
     FAILED = "failed"
 
 
+def content_of(words: Sequence[bytes]) -> bytes:
+    """Return what of a command has to reach the order server unchanged: all but its deadline, in short."""
+    pairs = b",".join(pair for pair in words[3].split(b",") if not pair.startswith(b"d="))
+    return blake2b(b"\0".join((*words[:3], pairs, *words[4:])), digest_size=8).hexdigest().encode()
+
+
 @dataclass(slots=True, eq=False)
 class RequestSeen:
     """One request as its client saw it, on one connection; a request that is sent again is seen twice."""
@@ -26,6 +34,7 @@
     process: int  # number of the gateway's process
     sent_at: float  # its last byte was written
     wait_s: float
+    content: bytes = b""  # the command but for its deadline
     answered_at: float | None = None
     answer: Answer | None = None
     value: bytes = b""
@@ -46,6 +55,7 @@
     first_byte_at: float
     last_byte_at: float
     wait_ms: int
+    content: bytes = b""  # the command but for its deadline
     may_have_executed: bool = True  # False where the server turned it away
     ended_at: float | None = None  # its response was written, or its connection ended
 
--- a/soak/order_servers.py
+++ b/soak/order_servers.py
@@ -11,7 +11,7 @@
 
 import hiredis
 
-from soak.observations import AttemptSeen, Record
+from soak.observations import AttemptSeen, Record, content_of
 from soak.schedule import TroubleKind
 from soak.settings import LOCALHOST, Deployment
 
@@ -85,7 +85,13 @@
         """Record a request's command."""
         pairs = dict(pair.partition(b"=")[::2] for pair in words[3].split(b","))
         seen = AttemptSeen(
-            words[2].decode(), self._gateway, self._server.number, began_at, now, int(pairs[b"d"])
+            words[2].decode(),
+            self._gateway,
+            self._server.number,
+            began_at,
+            now,
+            int(pairs[b"d"]),
+            content_of(words),
         )
         self._open_attempts.append(seen)
         return seen
--- a/soak/violations.py
+++ b/soak/violations.py
@@ -11,6 +11,7 @@
 
     LOST = "lost"
     WRONG_VALUE = "wrong_value"
+    ALTERED = "altered"  # a command that reached an order server otherwise than its client sent it
     CLIENT_LEFT = "client_left"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -68,6 +68,7 @@
     "mix_values_up": (Rule.WRONG_VALUE, ()),
     "ignore_leaving": (Rule.CLIENT_LEFT, (trouble(KIND.UNACCEPTING, 1.0, 4.0), *LEAVES)),
     "promise_too_much_time": (Rule.DEADLINE, ()),
+    "alter_commands": (Rule.ALTERED, ()),
     "repeat_everything": (Rule.DUPLICATE, (trouble(KIND.RESET),)),
     "invite_every_repeat": (Rule.FALSE_REFUSAL, (trouble(KIND.RESET),)),
     "try_without_end": (
