Failing test: commands that waited at the client, as the socket had no room for them

Cause: while reading is paused the socket fills, and what it has no room for waits in the client's system. Only what the socket held when reading went on counted from the pause, and each further pause began a new count. Also mended in the soak: a process starts with an older list only where its agent tells it the newest at once.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -47,6 +47,7 @@
         self.gateway = gateway
         self.process = process
         self.pending: deque[RequestSeen] = deque()
+        self._unsent: list[RequestSeen] = []  # whose bytes are not all handed to the system yet
         self.transport: asyncio.Transport
         self.answered_at = 0.0
         self.is_closed = False
@@ -54,13 +55,23 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)
 
     def send(self, seen: RequestSeen, command: bytes) -> None:
-        """Send a request."""
+        """Send a request; its time counts from when its last byte is handed to the system."""
         seen.sent_at = self._traffic.time()
         seen.ready_at = self.answered_at
         self.pending.append(seen)
         self.transport.write(command)
+        if self._unsent or self.transport.get_write_buffer_size():
+            self._unsent.append(seen)
+
+    def resume_writing(self) -> None:
+        """Count the time of the requests that had to wait for room from now on."""
+        now = self._traffic.time()
+        for seen in self._unsent:
+            seen.sent_at = now
+        self._unsent.clear()
 
     def data_received(self, data: bytes) -> None:
         """Take the answers that are complete."""
@@ -190,14 +201,13 @@
             f"units=1,spread={self._deployment.gateways},first=0"
         )
         name = b"CALL.GET" if kind.effect is Effect.IDEMPOTENT else b"CALL.POST"
-        body = () if kind.effect is Effect.IDEMPOTENT else (self._body(),)
+        body = () if kind.effect is Effect.IDEMPOTENT else (self._rng.randbytes(self._body_bytes()),)
         words = (name, b"%016x" % (seen.customer + 1), seen.request_id.encode(), pairs.encode(), *body)
         seen.content = content_of(words)
         return hiredis.pack_command(words)  # type: ignore[no-any-return]
 
-    def _body(self) -> bytes:
-        size = self._rng.choice(BODY_BYTES)
-        return self._rng.randbytes(self._rng.randrange(size + 1))
+    def _body_bytes(self) -> int:
+        return self._rng.randrange(1 + self._rng.choice(BODY_BYTES))
 
     async def _send_one(self, gateway: int, process: GatewayProcess) -> None:
         connection = self._take_idle(process)
--- a/soak/discovery_agents.py
+++ b/soak/discovery_agents.py
@@ -212,6 +212,15 @@
             self._server.close()
         self.reset_watches()
 
+    @property
+    def version(self) -> int:
+        """Return the version that the agent has."""
+        return self._version
+
+    def is_silent(self) -> bool:
+        """Return whether it tells nothing now, or may not have the newest list."""
+        return self._is_down() or self._loop.time() < self._lags_until
+
     def _is_down(self) -> bool:
         return self._loop.time() < self._down_until
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -176,7 +176,10 @@
             await agent.start()
 
     def _configuration_text(self, known: bool) -> str:
-        version = max(1, self._source.version - self._rng.randrange(MAX_KNOWN_AGE))
+        # The list as the gateway last had it. Older ones only where the agent tells the newest at once.
+        version = self.agent.version
+        if not self.agent.is_silent():
+            version = max(1, version - self._rng.randrange(MAX_KNOWN_AGE))
         known_list = self._source.whole_list(version, self.position) if known else None
         addresses = Addresses(self.agent.address, self._counter, self._operators, self._peers)
         seed = f"{self._seed:08x}{self.position:04x}{self._number:04x}"
--- a/tests/server/test_pipelined_deadlines.py
+++ b/tests/server/test_pipelined_deadlines.py
@@ -78,3 +78,44 @@
             assert time_left_s > CLASS_DEADLINE_S - passed_s
 
     run_on_loop(test)
+
+
+def test_bytes_that_the_socket_had_no_room_for_have_waited_as_long() -> None:
+    """They lie with the client's system, and come once reading goes on."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            arrived: list[Arrival] = []
+
+            def hold(arrival: Arrival) -> list[Action]:
+                arrived.append(arrival)
+                return []
+
+            most = client_connection.MAX_PIPELINED
+            behind = 2 * most
+            script_engine(harness, *[hold] * (most + behind))
+            loop = asyncio.get_running_loop()
+            passed_s = 0.0
+            harness.gateway.clients.time = lambda: loop.time() + passed_s
+            client = await harness.connect_client()
+            client.send(b"".join(call_command(number=n) for n in range(most)))
+            await wait_until(lambda: len(arrived) == most)
+            (connection,) = harness.gateway.clients.connections()
+            client.send(
+                b"".join(
+                    call_command("submit", number=n, body=b"B" * 50_000) for n in range(most, most + behind)
+                )
+            )
+            await wait_until(lambda: has_unread_bytes(connection._transport))
+            await asyncio.sleep(0.05)
+            passed_s += STEP_S
+            answered = 0
+            while len(arrived) < most + behind:
+                harness.gateway.executor.execute(Reject(arrived[answered].request_id, 0))
+                answered += 1
+                await wait_until(lambda: len(arrived) >= most + answered)  # noqa: B023
+            for arrival in arrived[most:]:
+                time_left_s = (arrival.deadline - harness.gateway.clock()) / SECOND
+                assert time_left_s <= CLASS_DEADLINE_S - passed_s
+
+    run_on_loop(test)
