Count commands that waited at the client for room as waiting since reading was paused

Bytes in the client's system came after reading went on and counted as just sent; each further pause began a new count. Change: a pause begins a backlog, which lasts until a read leaves the socket empty; all that comes until then counts as waiting since it began. With an empty socket at the end of the pause there is none.

--- a/qos_gateway/server/client_connection.py
+++ b/qos_gateway/server/client_connection.py
@@ -9,7 +9,7 @@
 from .backends import FlowControl
 from .client_commands import one_line, serve_command, shed_command
 from .client_input import CommandReader, CommandSyntaxError, DeferredInput
-from .client_socket import ClientSocketProtocol, has_unread_bytes, unread_bytes, untaken_bytes
+from .client_socket import ClientSocketProtocol, has_unread_bytes, untaken_bytes
 from .close_reasons import CloseReason
 from .logs import RateLimitFilter
 from .pending_replies import PendingReply, ReplyQueue, StreamedReply
@@ -34,14 +34,13 @@
     """
 
     __slots__ = (
+        "_backlog_since",
         "_close_reason",
         "_closing",
         "_deferred",
-        "_delayed_bytes",
         "_discarded_bytes",
         "_is_parsing",
         "_owner",
-        "_paused_at",
         "_replies",
         "commands",
         "has_sent_command",
@@ -57,8 +56,8 @@
         self._closing = False
         self._close_reason: CloseReason | None = None  # None while the gateway has not closed it
         self._discarded_bytes = 0  # received while closing
-        self._paused_at = 0.0  # when reading was paused last
-        self._delayed_bytes = 0  # that lay in the socket when reading was resumed, and are not read yet
+        # When reading was paused, until all that has waited since then is read; 0 where nothing waits.
+        self._backlog_since = 0.0
         self._is_parsing = False  # there may be more behind the command that is being served
         self.has_sent_command = False  # whether a whole command ever came
         self.idle_since = owner.time()  # when it was opened, or became idle last
@@ -117,14 +116,20 @@
         elif self._deferred.data:
             self._defer(self._deferred.data + data, self._deferred.since)
         else:
-            self._serve_commands(data, self._received_at(len(data)))
+            self._serve_commands(data, self._received_at())
 
-    def _received_at(self, size: int) -> float:
-        """Return when the bytes read now have come, at the earliest: some waited while reading was paused."""
-        if self._delayed_bytes <= 0:
+    def _received_at(self) -> float:
+        """Return when the bytes read now were sent, at the earliest: some waited while reading was paused.
+
+        What the socket had no room for waited with the client. It comes as room is made, so that nothing
+        waits any more once a read has left the socket empty.
+        """
+        if not self._backlog_since:
             return self._owner.time()
-        self._delayed_bytes -= size
-        return self._paused_at
+        since = self._backlog_since
+        if not has_unread_bytes(self._transport):
+            self._backlog_since = 0.0
+        return since
 
     def _serve_commands(self, data: bytes, received_at: float) -> None:
         """Serve command by command; each has waited here since the data was received."""
@@ -191,11 +196,12 @@
             may_read = not self._deferred.data and self._may_take_command()
         if self.set_reading(may_read):
             self._owner.hangup_monitor.set_watched(self, not may_read)
-            if may_read:
-                self._delayed_bytes = unread_bytes(self._transport)
-                self.commands.restart_timeout()
-            else:
-                self._paused_at = self._owner.time()
+            if not may_read:
+                self._backlog_since = self._backlog_since or self._owner.time()
+                return
+            self.commands.restart_timeout()
+            if not has_unread_bytes(self._transport):
+                self._backlog_since = 0.0
 
     # Output.
 
