--- a/soak/counter_server.py
+++ b/soak/counter_server.py
@@ -1,8 +1,9 @@
-"""The quota counter: lines of text, with faults on demand."""
+"""The quota counter: lines of text, two addresses for each gateway, and faults on demand."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import cast
 
 from soak.settings import LOCALHOST
@@ -11,41 +12,49 @@
 SLOW_REPLY_S = 0.15  # over the time that gateways wait
 IDLE_CLOSE_S = 8.0
 MAX_LIFE_S = 60.0
+FAULT_PROBABILITY = 0.5  # that one reply is none that can be read, or turns the call away, where some do
+REPLIES_WITHOUT_A_NUMBER = (b"ok\r\n", b"ok much\r\n", b"\xff\xfe\r\n")
 
 
 class CounterServer:
     """Numbers by name, each forgotten at the end of its life."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int) -> None:
         self.loop = asyncio.get_running_loop()
-        self.connections: set[CounterConnection] = set()
+        self.rng = random.Random(f"counter {seed}")
         self.slow_until = 0.0
+        self.silent_until = 0.0
+        self.malformed_until = 0.0
         self.down_until = 0.0
         self._totals: dict[bytes, tuple[float, float]] = {}  # total and end of life
-        self._server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self) -> None:
-        """Listen."""
-        self._server = await self.loop.create_server(lambda: CounterConnection(self), LOCALHOST, 0)
-        self.port = int(self._server.sockets[0].getsockname()[1])
+        self._listeners: list[CounterListener] = []
 
-    @property
-    def address(self) -> str:
-        """Return where gateways reach it."""
-        return f"{LOCALHOST}:{self.port}"
+    async def listen(self) -> CounterListener:
+        """Return another address of the counter."""
+        listener = CounterListener(self)
+        await listener.start()
+        self._listeners.append(listener)
+        return listener
 
     def take_down(self, duration_s: float) -> None:
         """Reset all connections, and every new one, for a while; the numbers are lost."""
         self.down_until = self.loop.time() + duration_s
         self._totals.clear()
-        for connection in list(self.connections):
-            connection.abort()
+        for listener in self._listeners:
+            listener.reset_connections()
 
     def slow_down(self, duration_s: float) -> None:
         """Answer late for a while."""
         self.slow_until = self.loop.time() + duration_s
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Count for a while, and answer nothing."""
+        self.silent_until = self.loop.time() + duration_s
+
+    def answer_malformed(self, duration_s: float) -> None:
+        """Turn calls away for a while, or answer what holds no number."""
+        self.malformed_until = self.loop.time() + duration_s
+
     def bump(self, name: bytes, amount: float, life_s: float) -> float:
         """Add an amount to a number, and return the total."""
         now = self.loop.time()
@@ -57,39 +66,85 @@
 
     def close(self) -> None:
         """End for good."""
-        if self._server is not None:
-            self._server.close()
+        for listener in self._listeners:
+            listener.close()
+
+
+class CounterListener:
+    """One address of the counter."""
+
+    def __init__(self, counter: CounterServer) -> None:
+        self.counter = counter
+        self.connections: set[CounterConnection] = set()
+        self.is_retired = False  # after a move
+        self._server: asyncio.Server | None = None
+        self._port = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await self.counter.loop.create_server(lambda: CounterConnection(self), LOCALHOST, 0)
+        self._port = int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def address(self) -> str:
+        """Return where its gateway reaches it."""
+        return f"{LOCALHOST}:{self._port}"
+
+    def is_down(self) -> bool:
+        """Return whether every connection is reset at once."""
+        return self.is_retired or self.counter.loop.time() < self.counter.down_until
+
+    def retire(self) -> None:
+        """Serve nobody any more, as after a move."""
+        self.is_retired = True
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections."""
         for connection in list(self.connections):
             connection.abort()
 
+    def close(self) -> None:
+        """End for good."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_connections()
+
 
 class CounterConnection(asyncio.Protocol):
     """One connection of a gateway."""
 
-    def __init__(self, server: CounterServer) -> None:
-        self._server = server
+    def __init__(self, listener: CounterListener) -> None:
+        self._listener = listener
+        self._counter = listener.counter
         self._partial_line = b""
         self._transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Join the server's connections, unless it is down."""
         self._transport = cast(asyncio.Transport, transport)
-        self._server.connections.add(self)
-        if self._server.loop.time() < self._server.down_until:
+        self._listener.connections.add(self)
+        if self._listener.is_down():
             self.abort()
 
     def data_received(self, data: bytes) -> None:
         """Answer each complete line in turn."""
         *lines, self._partial_line = (self._partial_line + data).split(b"\n")
-        loop = self._server.loop
-        delay_s = SLOW_REPLY_S if loop.time() < self._server.slow_until else REPLY_S
+        loop = self._counter.loop
+        delay_s = SLOW_REPLY_S if loop.time() < self._counter.slow_until else REPLY_S
         replies = b"".join(self._reply(line.split()) for line in lines if line.strip())
-        loop.call_later(delay_s, self._write, replies)
+        if loop.time() >= self._counter.silent_until:
+            loop.call_later(delay_s, self._write, replies)
 
     def _reply(self, words: list[bytes]) -> bytes:
         if words[0] == b"ping":
             return b"pong\r\n"
-        total = self._server.bump(words[1], float(words[2]), float(words[3]) / 1000)
+        is_malformed = self._counter.loop.time() < self._counter.malformed_until
+        if is_malformed and self._counter.rng.random() < FAULT_PROBABILITY:
+            return b"busy\r\n"
+        total = self._counter.bump(words[1], float(words[2]), float(words[3]) / 1000)
+        if is_malformed and self._counter.rng.random() < FAULT_PROBABILITY:
+            return self._counter.rng.choice(REPLIES_WITHOUT_A_NUMBER)
         return b"ok %.6f\r\n" % total
 
     def _write(self, replies: bytes) -> None:
@@ -101,5 +156,5 @@
         self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - asyncio names it
-        """Leave the server's connections."""
-        self._server.connections.discard(self)
+        """Leave the listener's connections."""
+        self._listener.connections.discard(self)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -15,6 +15,7 @@
 
 from soak import call_shim
 from soak.addresses import free_tcp_address
+from soak.counter_server import CounterListener, CounterServer
 from soak.discovery_agents import (
     OLD_AGENT_CLOSES_AFTER_S,
     DiscoveryAgent,
@@ -151,7 +152,7 @@
         self._seed = seed
         self._path = folder / f"n{position}.json"
         self._log_path = folder / f"n{position}.log"
-        self._counter = ""
+        self._counters: list[CounterListener] = []
         self._peers = peers
         self._operators = ""
         self._rng = random.Random(f"gateway {seed} {position}")
@@ -169,9 +170,9 @@
         """Return the agent that the configuration names."""
         return self.agents[0]
 
-    async def prepare(self, counter_address: str) -> None:
-        """Start the agents."""
-        self._counter = counter_address
+    async def prepare(self, counter: CounterServer) -> None:
+        """Start the agents, and take two addresses of the counter."""
+        self._counters = [await counter.listen() for _ in self.agents]
         for agent in self.agents:
             await agent.start()
 
@@ -181,7 +182,7 @@
         if not self.agent.is_silent():
             version = max(1, version - self._rng.randrange(MAX_KNOWN_AGE))
         known_list = self._source.whole_list(version, self.position) if known else None
-        addresses = Addresses(self.agent.address, self._counter, self._operators, self._peers)
+        addresses = Addresses(self.agent.address, self._counters[0].address, self._operators, self._peers)
         seed = f"{self._seed:08x}{self.position:04x}{self._number:04x}"
         return json.dumps(configuration(self._deployment, self.position, addresses, known_list, seed))
 
@@ -299,8 +300,11 @@
             return
         loop = asyncio.get_running_loop()
         old = self.agent
+        old_counter = self._counters[0]
         self.agents.reverse()
+        self._counters.reverse()
         self.agent.is_retired = False
+        self._counters[0].is_retired = False
         text = self._configuration_text(known=False)
         if torn_first:
             self._path.write_text(text[: len(text) // 2])
@@ -310,7 +314,7 @@
         replacement.replace(self._path)
         process.signal(signal.SIGHUP)
         self.moved_at.append(loop.time())
-        loop.call_later(OLD_AGENT_CLOSES_AFTER_S, self._close_old_agent, old)
+        loop.call_later(OLD_AGENT_CLOSES_AFTER_S, self._close_old_addresses, old, old_counter)
 
     def reload_to_silent_agent(self) -> None:
         """Reload with an agent whose next watch says nothing."""
@@ -322,9 +326,10 @@
         self.agents[1].lag(version, AGENT_LAG_S)
         self.reload()
 
-    def _close_old_agent(self, agent: DiscoveryAgent) -> None:
+    def _close_old_addresses(self, agent: DiscoveryAgent, counter: CounterListener) -> None:
         if agent is not self.agent:
             agent.retire()
+            counter.retire()
 
     async def close(self) -> None:
         """End what is left."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,7 +24,7 @@
 from soak.judge import Verdict, judge
 from soak.observations import Lag, Record
 from soak.order_servers import OrderServer
-from soak.schedule import Trouble, TroubleKind, draw_schedule
+from soak.schedule import OF_COUNTER, Trouble, TroubleKind, draw_schedule
 from soak.settings import Deployment, draw_deployment
 
 LAG_CHECK_S = 0.01
@@ -78,7 +78,7 @@
         self.record = Record()
         self.source = ListSource()
         self.servers: list[OrderServer] = []
-        self.counter = CounterServer()
+        self.counter = CounterServer(options.seed)
         peers = free_udp_addresses(options.gateways) if self.deployment.peer_messages_per_s else ()
         self.gateways = [
             Gateway(n, self.deployment, self.source, self.record, folder, options.launch, options.seed, peers)
@@ -128,10 +128,9 @@
     async def _start(self) -> None:
         for _ in range(self.options.order_servers):
             self._add_server(began_at=0.0)
-        await self.counter.start()
         starts = []
         for gateway in self.gateways:
-            await gateway.prepare(self.counter.address)
+            await gateway.prepare(self.counter)
             starts.append(self._loop.create_task(gateway.start()))
             await asyncio.sleep(START_STAGGER_S)
         await asyncio.gather(*starts)
@@ -181,10 +180,13 @@
         elif trouble.kind in self._server_changes():
             for server in self._live_servers(trouble):
                 self._spawn(self._server_changes()[trouble.kind](server, trouble.duration_s))
-        elif trouble.kind is TroubleKind.COUNTER_DOWN:
-            self.counter.take_down(trouble.duration_s)
-        elif trouble.kind is TroubleKind.COUNTER_SLOW:
-            self.counter.slow_down(trouble.duration_s)
+        elif trouble.kind in OF_COUNTER:
+            {
+                TroubleKind.COUNTER_DOWN: self.counter.take_down,
+                TroubleKind.COUNTER_SLOW: self.counter.slow_down,
+                TroubleKind.COUNTER_SILENT: self.counter.fall_silent,
+                TroubleKind.COUNTER_MALFORMED: self.counter.answer_malformed,
+            }[trouble.kind](trouble.duration_s)
         else:
             for number in trouble.targets:
                 self._begin_at_gateway(trouble, self.gateways[number])
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -57,6 +57,8 @@
     # The counter.
     COUNTER_DOWN = "counter_down"
     COUNTER_SLOW = "counter_slow"
+    COUNTER_SILENT = "counter_silent"  # counts, and answers nothing
+    COUNTER_MALFORMED = "counter_malformed"  # turns calls away, or answers no number
 
 
 OF_GATEWAYS = frozenset(
@@ -81,7 +83,14 @@
         TroubleKind.GARBAGE,
     }
 )
-OF_COUNTER = frozenset({TroubleKind.COUNTER_DOWN, TroubleKind.COUNTER_SLOW})
+OF_COUNTER = frozenset(
+    {
+        TroubleKind.COUNTER_DOWN,
+        TroubleKind.COUNTER_SLOW,
+        TroubleKind.COUNTER_SILENT,
+        TroubleKind.COUNTER_MALFORMED,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
