--- a/tests/server/test_backends.py
+++ b/tests/server/test_backends.py
@@ -10,7 +10,6 @@
 import pytest
 
 from qos_gateway.server import response_receiver
-from qos_gateway.server.backends import REUSE_DELAY_S
 from qos_gateway.server.clock import monotonic_unix_ns
 from qos_gateway.server.resp import ResponseFrames
 from qos_gateway.server.responses import AttemptResult, LoadReport, read_load_report, read_response
@@ -371,59 +370,3 @@
             client.abort()
 
     run_on_loop(test)
-
-
-@pytest.mark.parametrize("how", ["cancelled", "out of time"])
-def test_connection_of_an_attempt_given_up_ends_before_the_next_attempt_is_written(how: str) -> None:
-    """Where hedging is not allowed two at once break a rule, and the process may be held up in between."""
-
-    async def test() -> None:
-        loop = asyncio.get_running_loop()
-        with closing(socket.create_server((LOOPBACK, 0))) as listener:
-            listener.setblocking(False)
-            async with backend_harness(port=listener.getsockname()[1]) as b:
-                attempt = b.start(1)
-                accepted, _ = await with_timeout(loop.sock_accept(listener))
-                with closing(accepted):
-                    assert await with_timeout(loop.sock_recv(accepted, 1 << 16))
-                    give_up = {"cancelled": b.pools.cancel_attempt, "out of time": b.pools.expire_attempt}
-                    give_up[how](attempt)
-                    # The loop does not turn here, as if the process were held up.
-                    accepted.settimeout(1.0)
-                    assert accepted.recv(1) == b""
-
-    run_on_loop(test)
-
-
-def test_nothing_more_is_written_of_an_attempt_that_counts_as_never_sent() -> None:
-    """It may go elsewhere then: its last bytes must not leave once there is room for them."""
-
-    async def test() -> None:
-        loop = asyncio.get_running_loop()
-        with closing(socket.create_server((LOOPBACK, 0))) as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.setblocking(False)
-            async with backend_harness(port=listener.getsockname()[1]) as b:
-                b.start(1)
-                accepted, _ = await with_timeout(loop.sock_accept(listener))
-                with closing(accepted):
-                    assert await with_timeout(loop.sock_recv(accepted, 1 << 16))
-                    accepted.sendall(success_reply(b"v"))
-                    assert (await b.end())[1] is Outcome.OK
-                    (connection,) = b.pools._pools[7].idle
-                    assert connection.transport is not None
-                    connection.transport.get_extra_info("socket").setsockopt(
-                        socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-                    )
-                    await asyncio.sleep(2 * REUSE_DELAY_S)
-                    attempt = b.start(2, body=b"B" * 60_000)
-                    assert attempt.connection is connection
-                    assert connection.has_unsent
-                    b.pools.expire_attempt(attempt)
-                    assert (await b.end())[1] is Outcome.CONNECT_FAILED
-                    received = 0
-                    while part := await with_timeout(loop.sock_recv(accepted, 1 << 16)):
-                        received += len(part)
-                    assert received < 60_000
-
-    run_on_loop(test)
--- a/tests/server/test_client_connections.py
+++ b/tests/server/test_client_connections.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from contextlib import closing
 
 import hiredis
 import pytest
 
-from qos_gateway.server import client_connection, client_connections, client_socket, client_timeouts
+from qos_gateway.server import client_connection, client_connections, client_timeouts
 from qos_gateway.types import (
     Action,
     Arrival,
@@ -415,55 +413,3 @@
             assert str(await client.next_message()) == "BUSY"
 
     run_on_loop(test)
-
-
-def test_slow_client_gets_all_replies_before_the_end_that_follows_its_protocol_error(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(client_socket, "HALF_CLOSE_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(client_connections, "CHECK_INTERVAL_S", 0.02)
-    value = b"v" * 60_000
-
-    async def test() -> None:
-        async with gateway_harness() as harness:
-            loop = asyncio.get_running_loop()
-            with closing(socket.socket()) as sock:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                sock.setblocking(False)
-                await loop.sock_connect(sock, ("127.0.0.1", harness.gateway.clients.port))
-                await loop.sock_sendall(sock, call_command())
-                connection, _ = await harness.backend.next_command()
-                (client,) = harness.gateway.clients.connections()
-                client._transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
-                )
-                await loop.sock_sendall(sock, b"no command\r\n")
-                await wait_until(lambda: client._closing)
-                connection.send(success_reply(value))
-                await asyncio.sleep(0.5)  # it reads nothing meanwhile, for less than a stall takes
-                received = b""
-                while part := await with_timeout(loop.sock_recv(sock, 1 << 16)):
-                    received += part
-                assert received.startswith(b"$60000\r\n" + value + b"\r\n-ERR Protocol error")
-
-    run_on_loop(test)
-
-
-def test_command_whose_rest_lies_unread_does_not_give_way_to_another_connection() -> None:
-    async def test() -> None:
-        async with gateway_harness() as harness:
-            clients = harness.gateway.clients
-            command = call_command()
-            with closing(socket.create_connection(("127.0.0.1", clients.port))) as sock:
-                sock.sendall(command[:30])
-                await wait_until(lambda: any(c.commands.is_midway for c in clients.connections()))
-                (client,) = clients.connections()
-                client.commands.partial_since -= 1.0
-                clients.max_connections = 1
-                sock.sendall(command[30:])  # the loop has not turned since
-                assert not clients._has_capacity()
-                connection, _ = await harness.backend.next_command()
-                connection.send(success_reply(b"v"))
-                assert await asyncio.to_thread(sock.recv, 100) == b"$1\r\nv\r\n"
-
-    run_on_loop(test)
