--- a/tests/server/test_pipelined_deadlines.py
+++ b/tests/server/test_pipelined_deadlines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from qos_gateway.server import client_connection
 from qos_gateway.server.client_socket import has_unread_bytes
@@ -16,17 +17,23 @@
 STEPS = 3
 
 
+def holding(arrived: list[Arrival]) -> Callable[[Arrival], list[Action]]:
+    """Return what an engine does that answers no request, and notes each in a list."""
+
+    def hold(arrival: Arrival) -> list[Action]:
+        arrived.append(arrival)
+        return []
+
+    return hold
+
+
 def test_command_behind_others_keeps_all_the_time_that_it_waited() -> None:
     """Each reply lets one more command in; those that wait on have waited all the while."""
 
     async def test() -> None:
         async with gateway_harness() as harness:
             arrived: list[Arrival] = []
-
-            def hold(arrival: Arrival) -> list[Action]:
-                arrived.append(arrival)
-                return []
-
+            hold = holding(arrived)
             number = client_connection.MAX_PIPELINED + STEPS
             script_engine(harness, *[hold] * number)
             loop = asyncio.get_running_loop()
@@ -50,11 +57,7 @@
     async def test() -> None:
         async with gateway_harness() as harness:
             arrived: list[Arrival] = []
-
-            def hold(arrival: Arrival) -> list[Action]:
-                arrived.append(arrival)
-                return []
-
+            hold = holding(arrived)
             most = client_connection.MAX_PIPELINED
             script_engine(harness, *[hold] * (most + 3))
             loop = asyncio.get_running_loop()
@@ -86,11 +89,7 @@
     async def test() -> None:
         async with gateway_harness() as harness:
             arrived: list[Arrival] = []
-
-            def hold(arrival: Arrival) -> list[Action]:
-                arrived.append(arrival)
-                return []
-
+            hold = holding(arrived)
             most = client_connection.MAX_PIPELINED
             behind = 2 * most
             script_engine(harness, *[hold] * (most + behind))
