--- a/qos_gateway/server/clients/buffer_budgets.py
+++ b/qos_gateway/server/clients/buffer_budgets.py
@@ -5,6 +5,7 @@
 MIN_WRITE_BUFFER_BYTES = 96 << 10  # of a connection; more than a value that is not streamed
 MIN_STREAM_BUFFER_BYTES = 16 << 10  # of a connection that streams a value, however many do
 BUFFER_MEMORY_FRACTION = 0.125  # of the memory: the limit on deferred input, and on buffered values
+CONNECTION_DEFERRED_FRACTION = 0.25  # of that limit: deferred input of one connection
 
 
 class BufferBudget:
@@ -34,14 +35,14 @@
         """Limit deferred input and buffered values to a fraction of the configured limit."""
         self.limit_bytes = int(self._configured_limit_bytes * fraction)
 
-    def defer(self, added_bytes: int) -> bool:
-        """Count deferred input; return whether its total is within the limit. It counts in either case."""
+    def defer(self, added_bytes: int) -> None:
+        """Count deferred input; a negative number counts it as deferred no longer."""
         self.deferred_bytes += added_bytes
-        return self.deferred_bytes <= self.limit_bytes
 
-    def release_deferred(self, size_bytes: int) -> None:
-        """Count bytes as deferred no longer."""
-        self.deferred_bytes -= size_bytes
+    def is_deferred_over_limit(self, connection_bytes: int) -> bool:
+        """Return whether deferred input exceeds a limit, given how much of it one connection has."""
+        connection_limit_bytes = self.limit_bytes * CONNECTION_DEFERRED_FRACTION
+        return self.deferred_bytes > self.limit_bytes or connection_bytes > connection_limit_bytes
 
     def buffer(self, size_bytes: int) -> bool:
         """Count bytes of a large value, unless that exceeds the limit; return whether they are counted."""
--- a/qos_gateway/server/clients/command_reader.py
+++ b/qos_gateway/server/clients/command_reader.py
@@ -1,4 +1,4 @@
-"""Input of one client: its bytes split into commands, and bytes that are deferred."""
+"""Input of one client: its bytes split into commands."""
 
 from __future__ import annotations
 
@@ -7,7 +7,6 @@
 import hiredis
 
 from ..networking.resp import CommandFrames, FrameError
-from .buffer_budgets import BufferBudget
 
 
 class CommandSyntaxError(ValueError):
@@ -59,33 +58,3 @@
         self.end = end
         self.partial_since_s = 0.0
         return arguments
-
-
-class DeferredInput:
-    """Bytes that were read from a client and not parsed, counted in the buffer budget."""
-
-    __slots__ = ("_buffers", "data", "since_s")
-
-    def __init__(self, buffers: BufferBudget) -> None:
-        self._buffers = buffers
-        self.data = b""
-        self.since_s = 0.0  # when the first of the data was received, however often it was put back
-
-    def put(self, data: bytes, received_at_s: float) -> bool:
-        """Replace the deferred bytes by these.
-
-        Returns False, and keeps none, where the deferred input of all connections exceeds its limit.
-        """
-        self.since_s = received_at_s
-        is_within_limit = self._buffers.defer(len(data) - len(self.data))
-        self.data = data
-        if not is_within_limit:
-            self.take()
-        return is_within_limit
-
-    def take(self) -> bytes:
-        """Return the deferred bytes and keep none."""
-        data = self.data
-        self.data = b""
-        self._buffers.release_deferred(len(data))
-        return data
--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -11,7 +11,7 @@
 from .commands import error_reply
 from .connection_input import MAX_PIPELINED, ConnectionContext, ConnectionInput
 from .pending_replies import PendingReply, ReplyQueue, StreamedReply
-from .socket_protocol import ClientSocketProtocol, has_unread_bytes, unacknowledged_bytes
+from .socket_protocol import ClientSocketProtocol, has_unread_bytes, unacknowledged_bytes, unread_bytes
 
 SHUTDOWN_REPLY = b"-BUSY\r\n"  # to a command that is incomplete at the end of a drain
 
@@ -82,7 +82,7 @@
             close_guard.check(self._close_reason, self._replies.unanswered(), False)
         close_guard.connection_ended(self._close_reason)
         self._listener.connection_closed(self)
-        self.input.deferred.take()
+        self.input.deferred.clear()
         for request_number in self._replies.discard():
             self._context.requests.client_disconnected(request_number)
 
@@ -101,7 +101,7 @@
 
     def is_awaiting_replies(self) -> bool:
         """Return whether a command has no reply yet, or input is deferred."""
-        return bool(self._replies.pending or self.input.deferred.data)
+        return bool(self._replies.pending or self.input.deferred)
 
     @property
     def has_sent_command(self) -> bool:
@@ -109,8 +109,8 @@
         return self.input.has_sent_command
 
     def is_receiving_command(self) -> bool:
-        """Return whether a command is incomplete and its remainder is read as it arrives."""
-        return bool(self.input.reader.partial_since_s) and self.is_reading
+        """Return whether a command is incomplete and its remainder is parsed as it arrives."""
+        return bool(self.input.reader.partial_since_s) and self.is_reading and not self.input.deferred
 
     def command_age_s(self, now_s: float) -> float:
         """Return the seconds for which the client has been sending its incomplete command.
@@ -130,9 +130,13 @@
         """Return whether a large value is being written."""
         return self._replies.is_value_in_flow()
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes the open socket holds that were not read."""
+        return 0 if self._transport.is_closing() else unread_bytes(self._transport)
+
     def has_unread_bytes(self) -> bool:
         """Return whether the open socket holds bytes that were not read."""
-        return not self._transport.is_closing() and has_unread_bytes(self._transport)
+        return self.unread_bytes() != 0
 
     def _resume_input(self) -> None:
         self.input.resume(self)
@@ -170,7 +174,7 @@
         """Start to write the first large value where that is due, considering the commands behind it."""
         client_input = self.input
         has_commands_behind = (
-            len(self._replies.pending) > 1 or client_input.deferred.data or client_input.reader.is_midway
+            len(self._replies.pending) > 1 or client_input.deferred or client_input.reader.is_midway
         )
         if self._replies.start_first_stream(bool(has_commands_behind)):
             client_input.update_reading(self)
@@ -238,5 +242,5 @@
         """Keep the first reason, and have the guard check for commands without a reply."""
         if self._close_reason is None and not self._transport.is_closing():
             self._close_reason = reason
-            has_deferred_input = bool(self.input.deferred.data)
+            has_deferred_input = bool(self.input.deferred)
             self._context.close_guard.check(reason, self._replies.unanswered(), has_deferred_input)
--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -11,12 +11,15 @@
 from .accept_drain import DrainState
 from .buffer_budgets import BufferBudget, StreamBudget
 from .close_guard import CloseGuard
-from .command_reader import CommandReader, CommandSyntaxError, DeferredInput
+from .command_reader import CommandReader, CommandSyntaxError
 from .commands import CommandExecutor, RequestHandler
+from .deferred_input import DeferredInput, InputPiece
 from .hangup_monitor import HangupMonitor
 from .pending_replies import PendingReply, ReplyConnection, ReplyQueue
+from .reading_pauses import ReadingPauses
 
-MAX_PIPELINED = 32  # commands of one connection without a reply; the commands behind them wait unread
+MAX_PIPELINED = 32  # commands of one connection without a reply; the commands behind them are deferred
+MAX_PENDING_REPLIES = 1024  # of one connection, those to rejected commands included; more are left unread
 MAX_DISCARDED_BYTES = 1 << 20  # read after the input was closed; more is left unread
 
 
@@ -44,8 +47,8 @@
     def is_closing(self) -> bool:
         """Return whether the transport is closed or being closed."""
 
-    def has_unread_bytes(self) -> bool:
-        """Return whether the open socket holds bytes that were not read."""
+    def unread_bytes(self) -> int:
+        """Return how many bytes the open socket holds that were not read."""
 
     @property
     def is_reading(self) -> bool:
@@ -67,14 +70,16 @@
 class ConnectionInput:
     """Executes a client's commands as they are read, while few enough of them have no reply yet.
 
-    Input that may not be executed yet is deferred, and reading is paused. The connection is passed to each
-    method: a reference to it would be a cycle, so that closed connections waited for the garbage collector.
+    Commands that may not be executed yet are read and deferred, so that the time at which they came is known;
+    the oldest are rejected where they take too much memory. Reading is paused only while the client does not
+    accept its replies, and while a large value is written. The connection is passed to each method: a
+    reference to it would be a cycle, so that closed connections waited for the garbage collector.
     """
 
     __slots__ = (
-        "_backlog_since_s",
         "_context",
         "_discarded_bytes",
+        "_pauses",
         "_replies",
         "deferred",
         "has_sent_command",
@@ -88,8 +93,7 @@
         self._replies = replies
         self.reader = CommandReader(context.time)
         self.deferred = DeferredInput(context.buffers)
-        # When reading was paused, until all bytes that have waited since then are read; 0 where none wait.
-        self._backlog_since_s = 0.0
+        self._pauses = ReadingPauses()
         self._discarded_bytes = 0
         self.has_sent_command = False  # a complete one
         self.is_parsing = False  # a command is being executed, and others may follow in the same data
@@ -101,34 +105,32 @@
             self._discarded_bytes += len(data)
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.update_reading(connection)
-        elif self.deferred.data:
-            self._defer(connection, self.deferred.data + data, self.deferred.since_s)
+            return
+        now_s = self._context.time()
+        received_at_s = now_s
+        if self._pauses.has_unread_input():
+            received_at_s = self._pauses.received_at_s(now_s, not connection.unread_bytes())
+        piece = InputPiece(data, 0, received_at_s)
+        if self.deferred:
+            self.deferred.append(piece)
         else:
-            received_at_s = (
-                self._backlog_received_at_s(connection) if self._backlog_since_s else self._context.time()
-            )
-            self._execute_commands(connection, data, received_at_s)
+            self._execute_commands(connection, piece)
+        if self.deferred:
+            self._reject_excess(connection)
+            self.update_reading(connection)
 
-    def _backlog_received_at_s(self, connection: InputConnection) -> float:
-        """Return the earliest time at which the bytes read now may have been sent.
-
-        Bytes that the socket buffer cannot hold wait at the client and arrive as the buffer is read. Thus
-        nothing waits any more once a read has emptied the socket.
-        """
-        since_s = self._backlog_since_s
-        if not connection.has_unread_bytes():
-            self._backlog_since_s = 0.0
-        return since_s
-
-    def _execute_commands(self, connection: InputConnection, data: bytes, received_at_s: float) -> None:
+    def _execute_commands(self, connection: InputConnection, piece: InputPiece) -> None:
+        """Execute the commands in a piece as far as that is allowed now, and defer the remainder."""
         context = self._context
-        position = 0
-        waited_s = context.time() - received_at_s
+        data = piece.data
+        position = piece.position
+        waited_s = context.time() - piece.received_at_s
         self.is_parsing = True
         try:
             while position < len(data) and not self.is_closed:
                 if not self._may_execute(connection):
-                    self._defer(connection, data[position:], received_at_s)
+                    piece.position = position
+                    self.deferred.put_back(piece)
                     break
                 arguments = self.reader.next_command(data, position)
                 if arguments is None:
@@ -140,6 +142,7 @@
                 connection.command_received()
                 context.commands.execute(pending_reply, arguments, waited_s)
         except CommandSyntaxError as error:
+            self.deferred.clear()  # where a command begins in them is unknown
             connection.fail(str(error))
         finally:
             self.is_parsing = False
@@ -147,26 +150,31 @@
             connection.close(CloseReason.DRAINED)
 
     def _may_execute(self, connection: InputConnection) -> bool:
-        """Return whether another command may be executed now.
+        """Return whether another command may be executed now."""
+        return len(self._replies.pending) < MAX_PIPELINED and self._may_read(connection)
+
+    def _may_read(self, connection: InputConnection) -> bool:
+        """Return whether further commands may be read.
 
         None may behind a large value that is written in part: if the value fails, the connection closes.
         """
-        is_full = len(self._replies.pending) >= MAX_PIPELINED
+        is_full = len(self._replies.pending) >= MAX_PENDING_REPLIES
         return not (is_full or connection.blocked or self._replies.is_value_in_flow())
 
-    def _defer(self, connection: InputConnection, data: bytes, received_at_s: float) -> None:
-        """Defer the data and pause reading; reject its requests where the buffer budget is exhausted."""
-        if not self.deferred.put(data, received_at_s):
+    def _reject_excess(self, connection: InputConnection) -> None:
+        """Reject the oldest deferred commands while they take too much memory."""
+        while self.deferred.is_over_limit():
+            piece = self.deferred.take_first()
             try:
-                self._shed_commands(connection, data)
+                self._reject_commands(connection, piece)
             except CommandSyntaxError as error:
+                self.deferred.clear()
                 connection.fail(str(error))
-        self.update_reading(connection)
 
-    def _shed_commands(self, connection: InputConnection, data: bytes) -> None:
-        """Reply to each command in the data, as the requests that were read must get a reply."""
-        position = 0
-        while (arguments := self.reader.next_command(data, position)) is not None:
+    def _reject_commands(self, connection: InputConnection, piece: InputPiece) -> None:
+        """Reply to each command in a piece, as the requests that were read must get a reply."""
+        position = piece.position
+        while (arguments := self.reader.next_command(piece.data, position)) is not None:
             position = self.reader.end
             pending_reply = PendingReply(connection)
             self._replies.pending.append(pending_reply)
@@ -174,12 +182,15 @@
 
     def is_held_back(self, connection: InputConnection) -> bool:
         """Return whether input waits, deferred or unread in the socket."""
-        return bool(self.deferred.data) or not connection.is_reading
+        return bool(self.deferred) or not connection.is_reading
 
     def resume(self, connection: InputConnection) -> None:
-        """Execute deferred commands as far as that is allowed now, then read on if none remain."""
-        if self.deferred.data and not self.is_closed and not connection.is_closing():
-            self._execute_commands(connection, self.deferred.take(), self.deferred.since_s)
+        """Execute deferred commands as far as that is allowed now, and read on."""
+        if self.deferred and not connection.is_closing():
+            while self.deferred and not self.is_closed and self._may_execute(connection):
+                self._execute_commands(connection, self.deferred.take_first())
+            if not self.deferred:
+                self.reader.restart_timeout()
         self.update_reading(connection)
 
     def close(self) -> None:
@@ -187,16 +198,15 @@
         self.is_closed = True
 
     def update_reading(self, connection: InputConnection) -> None:
-        """Read while commands may be executed; pause otherwise, and watch for the client's end."""
+        """Read while commands may be read; pause otherwise, and watch for the client's end."""
         if self.is_closed:
             may_read = self._discarded_bytes <= MAX_DISCARDED_BYTES
         else:
-            may_read = not self.deferred.data and self._may_execute(connection)
+            may_read = self._may_read(connection)
         if connection.set_reading(may_read):
             self._context.hangup_monitor.set_watched(connection, not may_read)
             if not may_read:
-                self._backlog_since_s = self._backlog_since_s or self._context.time()
+                self._pauses.begin(self._context.time())
                 return
             self.reader.restart_timeout()
-            if not connection.has_unread_bytes():
-                self._backlog_since_s = 0.0
+            self._pauses.end(self._context.time(), connection.unread_bytes())
--- a/tests/server/test_pipelined_deadlines.py
+++ b/tests/server/test_pipelined_deadlines.py
@@ -6,13 +6,20 @@
 from dataclasses import replace
 
 from qos_gateway.server.clients.connection_input import MAX_PIPELINED
-from qos_gateway.server.clients.socket_protocol import has_unread_bytes
 from qos_gateway.types import Arrival
 from qos_gateway.units import SECOND
 from tests.support.clients import call_command
 from tests.support.event_loop import run_on_loop, wait_until
+from tests.support.fake_endpoint import success_reply
 from tests.support.gateway_harness import GatewayHarness, gateway_harness
-from tests.support.scripted_engine import leave_open, reject_open_request, script_engine
+from tests.support.scripted_engine import (
+    forward_to,
+    leave_open,
+    only_endpoint,
+    reject_open_request,
+    script_engine,
+)
+from tests.support.values import value
 
 CLASS_DEADLINE_S = 2.0
 STEP_S = 0.4
@@ -62,7 +69,7 @@
     run_on_loop(test)
 
 
-def test_deadline_includes_the_time_in_the_socket_while_reading_was_paused() -> None:
+def test_deadline_of_a_command_that_came_behind_deferred_ones_includes_its_waiting_time() -> None:
     async def test() -> None:
         async with gateway_harness() as harness:
             engine = script_engine(harness, *[leave_open] * (MAX_PIPELINED + 3))
@@ -70,10 +77,9 @@
             client = await harness.connect_client()
             client.send(b"".join(call_command(number=n) for n in range(MAX_PIPELINED + 1)))
             await wait_until(lambda: len(engine.arrivals) == MAX_PIPELINED)
-            # Sent while a command is deferred and reading is paused.
-            client.send(call_command(number=MAX_PIPELINED + 1))
-            connection = harness.gateway.clients.connections()[0]
-            await wait_until(lambda: has_unread_bytes(connection._transport))
+            deferred_bytes = harness.buffers.deferred_bytes
+            client.send(call_command(number=MAX_PIPELINED + 1))  # while a command is deferred
+            await wait_until(lambda: harness.buffers.deferred_bytes > deferred_bytes)
             clock.advance_s += STEP_S
             for arrival in engine.arrivals[:2]:
                 reject_open_request(harness, arrival)
@@ -87,26 +93,24 @@
     run_on_loop(test)
 
 
-def test_deadline_includes_the_time_in_the_clients_socket_while_the_gateways_was_full() -> None:
-    """Such bytes wait in the send buffer of the client, and arrive after reading resumes."""
+def test_commands_beyond_the_pipeline_limit_are_read_so_that_no_system_holds_them_back() -> None:
+    """What the gateway's socket has no room for is sent late, and its waiting time is not known then."""
 
     async def test() -> None:
         async with gateway_harness() as harness:
             waiting_count = 2 * MAX_PIPELINED
+            harness.buffers.limit_bytes = 64 << 20
             engine = script_engine(harness, *[leave_open] * (MAX_PIPELINED + waiting_count))
             clock = advance_clock_of(harness)
             client = await harness.connect_client()
             client.send(b"".join(call_command(number=n) for n in range(MAX_PIPELINED)))
             await wait_until(lambda: len(engine.arrivals) == MAX_PIPELINED)
-            (connection,) = harness.gateway.clients.connections()
-            client.send(
-                b"".join(
-                    call_command("submit", number=n, body=b"B" * 50_000)
-                    for n in range(MAX_PIPELINED, MAX_PIPELINED + waiting_count)
-                )
+            commands = b"".join(
+                call_command("submit", number=n, body=b"B" * 50_000)
+                for n in range(MAX_PIPELINED, MAX_PIPELINED + waiting_count)
             )
-            await wait_until(lambda: has_unread_bytes(connection._transport))
-            await asyncio.sleep(0.05)
+            client.send(commands)
+            await wait_until(lambda: harness.buffers.deferred_bytes >= len(commands))
             clock.advance_s += STEP_S
             rejected_count = 0
             while len(engine.arrivals) < MAX_PIPELINED + waiting_count:
@@ -115,5 +119,32 @@
                 await wait_until(lambda: len(engine.arrivals) >= MAX_PIPELINED + rejected_count)  # noqa: B023
             for arrival in engine.arrivals[MAX_PIPELINED:]:
                 assert time_left_s(harness, arrival) <= CLASS_DEADLINE_S - clock.advance_s
+            assert harness.buffers.deferred_bytes == 0
+
+    run_on_loop(test)
+
+
+def test_deadline_includes_the_time_in_the_socket_while_reading_was_paused() -> None:
+    """Nothing is read behind a large value that is written in part."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            endpoint = only_endpoint(harness)
+            engine = script_engine(harness, forward_to(endpoint), leave_open)
+            clock = advance_clock_of(harness)
+            client = await harness.connect_client()
+            client.send(call_command(number=1))
+            server, _ = await harness.endpoint.next_command()
+            reply = success_reply(value(300_000))
+            server.send(reply[:150_000])
+            await wait_until(lambda: harness.active_streams == 1)
+            client.send(call_command(number=2))
+            (connection,) = harness.gateway.clients.connections()
+            await wait_until(connection.has_unread_bytes)
+            clock.advance_s += STEP_S
+            server.send(reply[150_000:])
+            assert await client.next_message() == value(300_000)
+            await wait_until(lambda: len(engine.arrivals) == 2)
+            assert time_left_s(harness, engine.arrivals[-1]) <= CLASS_DEADLINE_S - clock.advance_s
 
     run_on_loop(test)
