Clients: deadlines include the wait for an accept, and the time of a stall

Cause: a request's time counted from its read. Bytes that lay in the socket before the accept, or while the event loop stood still, counted as just sent.

Change: the listener knows since when connections may have queued, and a timer of 0.1 s shows that the loop stood still, also to what runs before the late timer. Only then the system is asked (TCP_INFO) for the age of the last data; earlier commands of the same read count from the earliest time possible.

--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -11,7 +11,14 @@
 from .commands import error_reply
 from .connection_input import MAX_PIPELINED, ConnectionContext, ConnectionInput
 from .pending_replies import PendingReply, ReplyQueue, StreamedReply
-from .socket_protocol import ClientSocketProtocol, has_unread_bytes, unacknowledged_bytes, unread_bytes
+from .socket_protocol import (
+    ClientSocketProtocol,
+    SocketAges,
+    has_unread_bytes,
+    socket_ages,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 
 SHUTDOWN_REPLY = b"-BUSY\r\n"  # to a command that is incomplete at the end of a drain
 
@@ -44,13 +51,18 @@
         "_close_reason",
         "_context",
         "_listener",
+        "_queued_since_s",
         "_replies",
         "idle_since_s",
         "input",
     )
 
-    def __init__(self, listener: ConnectionListener, context: ConnectionContext) -> None:
+    def __init__(
+        self, listener: ConnectionListener, context: ConnectionContext, queued_since_s: float | None = None
+    ) -> None:
+        """Take the earliest time at which the client can have connected, if the accept may have been late."""
         super().__init__()
+        self._queued_since_s = queued_since_s
         self._listener = listener
         self._context = context
         self._replies: ReplyQueue  # from `connection_made` on
@@ -64,8 +76,15 @@
         context = self._context
         self._replies = ReplyQueue(self._transport, context.buffers, context.streams)
         self.input = ConnectionInput(context, self._replies)
+        if self._queued_since_s is not None and self.unread_bytes():
+            self.input.note_queued_since(max(self._queued_since_s, self._connected_at_s()))
         self._listener.connection_opened(self)
 
+    def _connected_at_s(self) -> float:
+        """Return when the client connected, if nothing was sent to it yet; now, if that is not known."""
+        ages = self.socket_ages()
+        return self._context.time() - (0.0 if ages is None else ages.last_sent_s)
+
     def data_received(self, data: bytes) -> None:
         """Execute the commands in the data."""
         self.input.receive(self, data)
@@ -134,6 +153,10 @@
         """Return how many bytes the open socket holds that were not read."""
         return 0 if self._transport.is_closing() else unread_bytes(self._transport)
 
+    def socket_ages(self) -> SocketAges | None:
+        """Return the ages of the open socket's data; None where the system does not report them."""
+        return None if self._transport.is_closing() else socket_ages(self._transport)
+
     def has_unread_bytes(self) -> bool:
         """Return whether the open socket holds bytes that were not read."""
         return self.unread_bytes() != 0
--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -15,8 +15,11 @@
 from .commands import CommandExecutor, RequestHandler
 from .deferred_input import DeferredInput, InputPiece
 from .hangup_monitor import HangupMonitor
+from .loop_stalls import LoopStalls
 from .pending_replies import PendingReply, ReplyConnection, ReplyQueue
 from .reading_pauses import ReadingPauses
+from .receive_times import ReceiveTimes, late_receive_times
+from .socket_protocol import SocketAges
 
 MAX_PIPELINED = 32  # commands of one connection without a reply; the commands behind them are deferred
 MAX_PENDING_REPLIES = 1024  # of one connection, those to rejected commands included; more are left unread
@@ -28,6 +31,7 @@
     """What all connections of clients share."""
 
     time: Callable[[], float]  # s, on the event loop's clock
+    stalls: LoopStalls
     call_soon: Callable[[Callable[[], None]], asyncio.Handle]
     requests: RequestHandler
     commands: CommandExecutor
@@ -50,6 +54,9 @@
     def unread_bytes(self) -> int:
         """Return how many bytes the open socket holds that were not read."""
 
+    def socket_ages(self) -> SocketAges | None:
+        """Return the ages of the open socket's data; None where the system does not report them."""
+
     @property
     def is_reading(self) -> bool:
         """Whether the event loop reads from the socket."""
@@ -80,6 +87,7 @@
         "_context",
         "_discarded_bytes",
         "_pauses",
+        "_queued_since_s",
         "_replies",
         "deferred",
         "has_sent_command",
@@ -94,11 +102,17 @@
         self.reader = CommandReader(context.time)
         self.deferred = DeferredInput(context.buffers)
         self._pauses = ReadingPauses()
+        # When the bytes of the first read can have come at the earliest, if that was before the accept.
+        self._queued_since_s: float | None = None
         self._discarded_bytes = 0
         self.has_sent_command = False  # a complete one
         self.is_parsing = False  # a command is being executed, and others may follow in the same data
         self.is_closed = False  # no further command is executed; what is read is discarded
 
+    def note_queued_since(self, queued_since_s: float) -> None:
+        """Note that bytes came before the connection was accepted, but not before this time."""
+        self._queued_since_s = queued_since_s
+
     def receive(self, connection: InputConnection, data: bytes) -> None:
         """Execute the commands in the data as far as that is allowed now."""
         if self.is_closed:
@@ -106,11 +120,7 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.update_reading(connection)
             return
-        now_s = self._context.time()
-        received_at_s = now_s
-        if self._pauses.has_unread_input():
-            received_at_s = self._pauses.received_at_s(now_s, not connection.unread_bytes())
-        piece = InputPiece(data, 0, received_at_s)
+        piece = InputPiece(data, self._receive_times(connection))
         if self.deferred:
             self.deferred.append(piece)
         else:
@@ -119,12 +129,25 @@
             self._reject_excess(connection)
             self.update_reading(connection)
 
+    def _receive_times(self, connection: InputConnection) -> ReceiveTimes:
+        """Return when the bytes that are read now came."""
+        now_s = self._context.time()
+        if self._pauses.has_unread_input():
+            received_at_s = self._pauses.received_at_s(now_s, not connection.unread_bytes())
+            return ReceiveTimes(received_at_s, received_at_s)
+        unread_since_s = self._context.stalls.stalled_since_s(now_s)
+        if self._queued_since_s is not None:
+            unread_since_s = self._queued_since_s
+            self._queued_since_s = None
+        if unread_since_s is None:
+            return ReceiveTimes(now_s, now_s)
+        return late_receive_times(now_s, unread_since_s, connection.socket_ages())
+
     def _execute_commands(self, connection: InputConnection, piece: InputPiece) -> None:
         """Execute the commands in a piece as far as that is allowed now, and defer the remainder."""
         context = self._context
         data = piece.data
         position = piece.position
-        waited_s = context.time() - piece.received_at_s
         self.is_parsing = True
         try:
             while position < len(data) and not self.is_closed:
@@ -140,6 +163,7 @@
                 self._replies.pending.append(pending_reply)
                 self.has_sent_command = True
                 connection.command_received()
+                waited_s = context.time() - piece.received_at_s(position)
                 context.commands.execute(pending_reply, arguments, waited_s)
         except CommandSyntaxError as error:
             self.deferred.clear()  # where a command begins in them is unknown
--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Iterator
 from typing import cast
 
@@ -19,6 +20,7 @@
 from .connection_input import ConnectionContext
 from .hangup_monitor import HangupMonitor
 from .listener import Listener, bound_socket, inherited_socket
+from .loop_stalls import LoopStalls
 from .request_parser import RequestParser
 from .timeouts import TimeoutChecker
 
@@ -56,14 +58,15 @@
         if sock is None:
             self._inherited_descriptor = None
             sock = await retry_transient(self._bind)
-        self._listener = Listener(sock, self._new_connection, self._has_capacity)
+        self._listener = Listener(sock, self._new_connection, self._has_capacity, self.context.stalls)
+        self.context.stalls.start()
         self.timeout_checker.start()
 
     async def _bind(self) -> socket.socket:
         return bound_socket(self._address)
 
-    def _new_connection(self) -> ClientConnection:
-        return ClientConnection(self, self.context)
+    def _new_connection(self, queued_since_s: float | None) -> ClientConnection:
+        return ClientConnection(self, self.context, queued_since_s)
 
     @property
     def port(self) -> int:
@@ -183,6 +186,7 @@
         """Close the listening socket and all connections at once."""
         self.timeout_checker.stop()
         self.context.hangup_monitor.close()
+        self.context.stalls.close()
         self.stop_listening()
         for client in self.connections():
             client.abort(CloseReason.SHUTDOWN)
@@ -195,7 +199,8 @@
     loop = asyncio.get_running_loop()
     buffers = BufferBudget(config.memory_bytes, max_connections)
     return ConnectionContext(
-        time=loop.time,
+        time=time.monotonic,
+        stalls=LoopStalls(),
         call_soon=loop.call_soon,
         requests=requests,
         commands=CommandExecutor(RequestParser(config), requests),
--- a/qos_gateway/server/clients/deferred_input.py
+++ b/qos_gateway/server/clients/deferred_input.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from .buffer_budgets import BufferBudget
+from .receive_times import ReceiveTimes
 
 PIECE_OVERHEAD_BYTES = 192  # of the objects that hold one piece
 
@@ -12,12 +13,16 @@
 class InputPiece:
     """Bytes of one read, and how far they are parsed."""
 
-    __slots__ = ("data", "position", "received_at_s")
+    __slots__ = ("data", "position", "times")
 
-    def __init__(self, data: bytes, position: int, received_at_s: float) -> None:
+    def __init__(self, data: bytes, times: ReceiveTimes) -> None:
         self.data = data
-        self.position = position  # of the first byte that is not parsed
-        self.received_at_s = received_at_s
+        self.position = 0  # of the first byte that is not parsed
+        self.times = times
+
+    def received_at_s(self, end: int) -> float:
+        """Return when the command that ends before this position was received, at the earliest."""
+        return self.times.last_s if end == len(self.data) else self.times.first_s
 
     @property
     def size_bytes(self) -> int:
--- a/qos_gateway/server/clients/listener.py
+++ b/qos_gateway/server/clients/listener.py
@@ -6,10 +6,12 @@
 import logging
 import select
 import socket
+import time
 from collections.abc import Callable
 
 from ..config import Address
 from ..observability.logs import RateLimitFilter
+from .loop_stalls import LoopStalls
 
 log = logging.getLogger(__name__)
 log.addFilter(RateLimitFilter())
@@ -54,14 +56,19 @@
     def __init__(
         self,
         sock: socket.socket,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[float | None], asyncio.Protocol],
         has_capacity: Callable[[], bool],
+        stalls: LoopStalls,
     ) -> None:
+        """Take `protocol_factory` for a connection by the time since which it may have waited, if any."""
         sock.setblocking(False)
         sock.listen(BACKLOG)
         self._sock = sock
         self._protocol_factory = protocol_factory
         self._has_capacity = has_capacity
+        self._stalls = stalls
+        # Since when connections may wait to be accepted; None while each is accepted as it comes.
+        self._queued_since_s: float | None = 0.0  # an inherited socket may have queued some before
         self._loop = asyncio.get_running_loop()
         self._connecting: set[asyncio.Task[None]] = set()  # accepted, and without a protocol yet
         self._queue = select.poll()
@@ -99,6 +106,7 @@
         for _ in range(ACCEPT_BATCH):
             if not self.has_waiting():
                 self._full_since_s = None
+                self._queued_since_s = None
                 return
             if self._has_capacity():
                 self._full_since_s = None
@@ -114,6 +122,7 @@
             else:
                 self._pause_accepting()
                 return
+        self._note_queue()
 
     def _has_queued_too_long(self) -> bool:
         now_s = self._loop.time()
@@ -136,13 +145,16 @@
     def _start_connecting(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        task = self._loop.create_task(self._connect(sock))
+        queued_since_s = self._queued_since_s
+        if queued_since_s is None:
+            queued_since_s = self._stalls.stalled_since_s(time.monotonic())
+        task = self._loop.create_task(self._connect(sock, queued_since_s))
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
 
-    async def _connect(self, sock: socket.socket) -> None:
+    async def _connect(self, sock: socket.socket, queued_since_s: float | None) -> None:
         try:
-            await self._loop.connect_accepted_socket(self._protocol_factory, sock)
+            await self._loop.connect_accepted_socket(lambda: self._protocol_factory(queued_since_s), sock)
         except OSError:
             sock.close()  # the client has disconnected already
 
@@ -150,6 +162,12 @@
         self._resume_timer = None
         self._loop.add_reader(self._sock.fileno(), self._accept_batch)
 
+    def _note_queue(self) -> None:
+        """Note that connections may wait from now on."""
+        if self._queued_since_s is None:
+            self._queued_since_s = time.monotonic()
+
     def _pause_accepting(self) -> None:
+        self._note_queue()
         self._loop.remove_reader(self._sock.fileno())
         self._resume_timer = self._loop.call_later(ACCEPT_RETRY_INTERVAL_S, self._start_accepting)
--- /dev/null
+++ b/qos_gateway/server/clients/loop_stalls.py
@@ -0,0 +1,50 @@
+"""Detects that the event loop has stood still: the process was stopped, or the machine was busy."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+CHECK_INTERVAL_S = 0.1
+MIN_STALL_S = 0.05  # by which a check is late
+AFTERMATH_S = 0.05  # after a late check, in which bytes are read that came during the stall
+
+
+class LoopStalls:
+    """A timer whose lateness shows a stall, also to those who run before the late timer."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._checked_at_s = 0.0
+        self._stalled_from_s = 0.0  # the last check before the latest stall
+        self._stall_seen_at_s = 0.0  # by the first check after it
+
+    def start(self) -> None:
+        """Begin to check."""
+        self._checked_at_s = time.monotonic()
+        self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
+
+    def close(self) -> None:
+        """Stop checking."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def stalled_since_s(self, now_s: float) -> float | None:
+        """Return a time since which the loop may not have read; None where it has read all along."""
+        if self._timer is None:
+            return None
+        if now_s - self._checked_at_s >= CHECK_INTERVAL_S + MIN_STALL_S:
+            return self._checked_at_s
+        if now_s - self._stall_seen_at_s < AFTERMATH_S:
+            return self._stalled_from_s
+        return None
+
+    def _check(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._checked_at_s >= CHECK_INTERVAL_S + MIN_STALL_S:
+            self._stalled_from_s = self._checked_at_s
+            self._stall_seen_at_s = now_s
+        self._checked_at_s = now_s
+        self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/qos_gateway/server/clients/socket_protocol.py
+++ b/qos_gateway/server/clients/socket_protocol.py
@@ -5,12 +5,30 @@
 import asyncio
 import fcntl
 import select
+import socket
 import struct
 import termios
+from dataclasses import dataclass
 from typing import cast
 
 HALF_CLOSE_TIMEOUT_S = 0.75  # during which bytes are read and discarded after the last reply
 _INT = "i"  # the result type of the ioctl requests below, as `struct` writes it
+# Of `struct tcp_info` in linux/tcp.h: eight bytes, then numbers of 32 bits, these two in ms.
+_LAST_DATA_SENT_OFFSET = 44
+_LAST_DATA_RECEIVED_OFFSET = 52
+_TCP_INFO_BYTES = 56
+_MILLISECONDS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class SocketAges:
+    """How long ago the system last received data on a connection, and last sent any, in s.
+
+    Where it has sent none, `last_sent_s` is the age of the connection.
+    """
+
+    last_received_s: float
+    last_sent_s: float
 
 
 def _queued_bytes(transport: asyncio.Transport, request: int) -> int:
@@ -40,6 +58,22 @@
     return buffered + _queued_bytes(transport, termios.TIOCOUTQ)
 
 
+def socket_ages(transport: asyncio.Transport) -> SocketAges | None:
+    """Return the ages of the open socket's data; None where the system does not report them."""
+    sock = transport.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    except OSError:
+        return None
+    if len(info) < _TCP_INFO_BYTES:
+        return None
+    (sent_ms,) = struct.unpack_from("I", info, _LAST_DATA_SENT_OFFSET)
+    (received_ms,) = struct.unpack_from("I", info, _LAST_DATA_RECEIVED_OFFSET)
+    return SocketAges(
+        last_received_s=received_ms / _MILLISECONDS_PER_S, last_sent_s=sent_ms / _MILLISECONDS_PER_S
+    )
+
+
 def hangup_poll(transport: asyncio.Transport) -> select.poll:
     """Return a poll object that reports an event once the client has ended its sending.
 
--- a/tests/server/test_descriptor_limits.py
+++ b/tests/server/test_descriptor_limits.py
@@ -17,6 +17,7 @@
 
 from qos_gateway.server.clients import listener
 from qos_gateway.server.clients.listener import Listener
+from qos_gateway.server.clients.loop_stalls import LoopStalls
 from tests.support.clients import PING, call_command
 from tests.support.configurations import raw_config
 from tests.support.event_loop import LOOPBACK, listening, run_on_loop, wait_until, with_timeout
@@ -201,7 +202,7 @@
         with SocketWithoutDescriptors() as sock:
             sock.bind((LOOPBACK, 0))
             sock.failing_calls = 3 * has_capacity
-            accepting = Listener(sock, lambda: RecordedProtocol(connected), check_capacity)
+            accepting = Listener(sock, lambda _: RecordedProtocol(connected), check_capacity, LoopStalls())
             waiting = [
                 await with_timeout(asyncio.open_connection(LOOPBACK, accepting.port)) for _ in range(3)
             ]
@@ -228,7 +229,7 @@
 
     async def test() -> None:
         with socket.create_server((LOOPBACK, 0)) as sock:
-            accepting = Listener(sock, lambda: RecordedProtocol([]), lambda: False)
+            accepting = Listener(sock, lambda _: RecordedProtocol([]), lambda: False, LoopStalls())
             reader, writer = await with_timeout(asyncio.open_connection(LOOPBACK, accepting.port))
             assert await with_timeout(reader.read()) == b""
             accepting.close()
--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -71,9 +71,9 @@
 ) -> None:
     connect = Listener._connect
 
-    async def connect_late(self: Listener, sock: socket.socket) -> None:
+    async def connect_late(self: Listener, sock: socket.socket, queued_since_s: float | None) -> None:
         await asyncio.sleep(0.2)
-        await connect(self, sock)
+        await connect(self, sock, queued_since_s)
 
     monkeypatch.setattr(Listener, "_connect", connect_late)
 
--- /dev/null
+++ b/tests/server/test_late_reads.py
@@ -0,0 +1,143 @@
+"""Requests that waited before they were read: their deadlines count from when their clients sent them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import cast
+
+import pytest
+
+from qos_gateway.server.clients import loop_stalls
+from qos_gateway.server.clients.loop_stalls import LoopStalls
+from qos_gateway.server.clients.receive_times import ReceiveTimes, late_receive_times
+from qos_gateway.server.clients.socket_protocol import SocketAges, socket_ages
+from qos_gateway.units import SECOND
+from tests.support.clients import call_command
+from tests.support.event_loop import LOOPBACK, run_on_loop, wait_until
+from tests.support.gateway_harness import GatewayHarness, gateway_harness
+from tests.support.scripted_engine import leave_open, script_engine
+
+CLASS_DEADLINE_S = 2.0
+WAIT_S = 0.2
+
+
+def send_and_wait(harness: GatewayHarness, sock: socket.socket, numbers: list[int]) -> list[int]:
+    """Send commands with half of the wait between them; return the times at which each was sent, in ns."""
+    sent_at = []
+    for number in numbers:
+        sent_at.append(harness.gateway.clock())
+        sock.sendall(call_command(number=number))
+        time.sleep(WAIT_S / len(numbers))
+    return sent_at
+
+
+async def blocking_client(harness: GatewayHarness) -> socket.socket:
+    """Return a connected socket that is used without the event loop."""
+    address = (LOOPBACK, harness.gateway.clients.port)
+    return await asyncio.to_thread(socket.create_connection, address)
+
+
+def test_deadline_includes_the_wait_of_a_connection_for_room() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            engine = script_engine(harness, leave_open)
+            clients = harness.gateway.clients
+            clients.max_connections = 0
+            with await blocking_client(harness) as client:
+                (sent_at,) = await asyncio.to_thread(send_and_wait, harness, client, [1])
+                clients.max_connections = 10
+                await wait_until(lambda: len(engine.arrivals) == 1)
+                assert engine.arrivals[0].deadline <= sent_at + CLASS_DEADLINE_S * SECOND
+
+    run_on_loop(test)
+
+
+def test_deadline_of_a_request_that_was_sent_after_the_accept_is_whole() -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            engine = script_engine(harness, leave_open, leave_open)
+            clients = harness.gateway.clients
+            clients.max_connections = 0
+            with await blocking_client(harness) as client:
+                await asyncio.sleep(WAIT_S / 2)
+                clients.max_connections = 10
+                await wait_until(lambda: clients.connection_count() == 1)
+                sent_at = harness.gateway.clock()
+                client.sendall(call_command(number=1) + call_command(number=2))
+                await wait_until(lambda: len(engine.arrivals) == 2)
+                for arrival in engine.arrivals:
+                    assert arrival.deadline > sent_at + (CLASS_DEADLINE_S - WAIT_S / 4) * SECOND
+
+    run_on_loop(test)
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_deadline_includes_the_time_for_which_the_event_loop_stood_still(count: int) -> None:
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            engine = script_engine(harness, *[leave_open] * count)
+            with await blocking_client(harness) as client, ThreadPoolExecutor() as pool:
+                await wait_until(lambda: harness.gateway.clients.connection_count() == 1)
+                sending = pool.submit(send_and_wait, harness, client, list(range(count)))
+                time.sleep(2 * WAIT_S)  # blocks the loop on purpose
+                await wait_until(lambda: len(engine.arrivals) == count)
+                for sent_at, arrival in zip(sending.result(), engine.arrivals, strict=True):
+                    assert arrival.deadline <= sent_at + CLASS_DEADLINE_S * SECOND
+
+    run_on_loop(test)
+
+
+def test_stall_is_seen_before_and_after_the_late_timer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(loop_stalls, "CHECK_INTERVAL_S", 0.05)
+
+    async def test() -> None:
+        stalls = LoopStalls()
+        stalls.start()
+        await asyncio.sleep(0.2)
+        assert stalls.stalled_since_s(time.monotonic()) is None
+        stalled_at_s = time.monotonic()
+        time.sleep(0.3)  # blocks the loop on purpose
+        before = stalls.stalled_since_s(time.monotonic())
+        await wait_until(lambda: stalls._stall_seen_at_s > stalled_at_s)
+        after = stalls.stalled_since_s(time.monotonic())
+        assert before is not None
+        assert before <= stalled_at_s
+        assert after == before
+        stalls.close()
+
+    run_on_loop(test)
+
+
+def test_bytes_that_may_have_waited_count_from_the_earliest_time_but_the_last_of_them() -> None:
+    ages = SocketAges(last_received_s=0.1, last_sent_s=5.0)
+    assert late_receive_times(10.0, 9.5, ages) == ReceiveTimes(9.5, 9.9)
+    assert late_receive_times(10.0, 9.95, ages) == ReceiveTimes(9.95, 9.95)
+    assert late_receive_times(10.0, 9.5, None) == ReceiveTimes(9.5, 9.5)
+
+
+def test_system_tells_the_ages_of_a_connection_and_of_its_last_bytes() -> None:
+    async def test() -> None:
+        connected: asyncio.Future[asyncio.Transport] = asyncio.get_running_loop().create_future()
+
+        class Paused(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                paused = cast(asyncio.Transport, transport)
+                paused.pause_reading()
+                connected.set_result(paused)
+
+        server = await asyncio.get_running_loop().create_server(Paused, LOOPBACK, 0)
+        with await asyncio.to_thread(socket.create_connection, server.sockets[0].getsockname()) as client:
+            transport = await connected
+            await asyncio.sleep(WAIT_S)
+            client.sendall(b"x")
+            await asyncio.sleep(WAIT_S)
+            ages = socket_ages(transport)
+            assert ages is not None
+            assert WAIT_S / 2 < ages.last_received_s < ages.last_sent_s - WAIT_S / 2
+            transport.abort()
+        server.close()
+
+    run_on_loop(test)
