Slow start: where every endpoint is in slow start, their own completions set the rates

Cause: the token rate of an endpoint in slow start follows what warm endpoints complete. With none warm that decays to nothing, or was never known.

Change: with no warm endpoint, the completions of those in slow start count, relative to the fraction of their capacity, so the rate grows by 1.4 a time constant (as TCP's slow start) and never past what they complete. At a change between the two counts the estimate continues. Half of the last known rate stays known; where none is known, the three calls that the budget allows at any capacity are spent, divided among the gateways that share an endpoint.

--- a/qos_gateway/decisions/load_balancing/load_balancer.py
+++ b/qos_gateway/decisions/load_balancing/load_balancer.py
@@ -68,8 +68,12 @@
         # Warm endpoints of all gateways: this subset may have none, and rates come from others' subsets.
         size = len(self.registry.ring)
         if size:
-            warm = max(1, size - len(self.slow_start.warming_up))
-            self.slow_start.record_warm_endpoints(now, warm * len(subset) / size)
+            warm = size - len(self.slow_start.warming_up)
+            capacity = warm * len(subset) / size
+            if not warm:
+                capacity = sum(self.slow_start.fraction(now, state) for state in subset)
+            sharers = len(subset) * self.settings.gateway_count / size
+            self.slow_start.record_capacity(now, capacity, not warm, sharers)
         self.mean_in_flight = sum(state.in_flight for state in subset) / max(1, len(subset))
         peers = min(GATEWAYS_PER_ENDPOINT, self.settings.gateway_count) - 1
         self.peer_in_flight = self.mean_in_flight * peers
--- a/qos_gateway/decisions/statistics/decaying_mean.py
+++ b/qos_gateway/decisions/statistics/decaying_mean.py
@@ -33,6 +33,15 @@
         self.weight = self.weight * decay + weight
         self.updated_at = now
 
+    def scale(self, factor: float) -> None:
+        """Multiply the number of samples."""
+        self.weight *= factor
+        self.weighted_sum *= factor
+
+    def scale_values(self, factor: float) -> None:
+        """Multiply the value of each sample."""
+        self.weighted_sum *= factor
+
     def rate(self, now: int) -> float:
         """Return the recent number of samples per second."""
         return self.weight * exp((self.updated_at - now) / self.time_constant) * SECOND / self.time_constant
--- a/tests/support/slow_start_simulation.py
+++ b/tests/support/slow_start_simulation.py
@@ -29,7 +29,6 @@
 # All times are in ns. Endpoints start at START_NS; in the endpoint list a start at 0 is long ago.
 START_NS = 100 * SECOND
 LEAD_NS, SLOW_START_NS, OVERLOAD_WINDOW_NS = SECOND, 5 * SECOND, 2 * SECOND
-END_NS = START_NS + SLOW_START_NS
 RESPONSE_TIME_NS = 40 * MS  # without the time in the queue and the time of the work
 MAX_QUEUE_S = 0.8  # of work that waits at an endpoint; beyond it, the endpoint rejects requests
 
@@ -57,6 +56,10 @@
     overload_multiple: float = 2.0
     initial_capacity: float = 0.2
     traffic_spread: float = 1.0  # sigma of the logarithm of a gateway's share of the traffic
+    slow_start_ns: int = SLOW_START_NS
+    duration_ns: int = SLOW_START_NS  # of the traffic after `START_NS`
+    replacement_interval_ns: int = 0  # between the starts of two endpoints, each with one that fails
+    all_start_first: bool = False  # every endpoint starts when the gateways do, and none later
 
 
 @dataclass
@@ -76,7 +79,7 @@
         if not self.started_at:
             return full
         start = self.scenario.initial_capacity
-        return full * min(1.0, start + (1.0 - start) * (now - self.started_at) / SLOW_START_NS)
+        return full * min(1.0, start + (1.0 - start) * (now - self.started_at) / self.scenario.slow_start_ns)
 
     def serve(self, now: int, work: float) -> int | None:
         """Return when the response is sent, None if the request is rejected."""
@@ -98,7 +101,7 @@
                 first += 1
             received = last + 1 - first
             n = self.scenario.overload_multiple * self.capacity(now) * OVERLOAD_WINDOW_NS / SECOND
-            if now < self.started_at + SLOW_START_NS and 3 * informed > 2 * received:
+            if now < self.started_at + self.scenario.slow_start_ns and 3 * informed > 2 * received:
                 yield received / (n + 2 * sqrt(n) + 2)
 
 
@@ -132,20 +135,23 @@
             overload_window=OVERLOAD_WINDOW_NS,
             overload_multiple=scenario.overload_multiple,
             initial_capacity_fraction=scenario.initial_capacity,
-            slow_start_window=SLOW_START_NS,
+            slow_start_window=scenario.slow_start_ns,
         )
         ids = self.rng.sample(range(1, 10_000), fleet.warm + fleet.starting)
         self.failing, self.starting = ids[: scenario.failing], ids[fleet.warm :]
         known = ids if scenario.restarted else ids[: fleet.warm]
-        self.endpoints = {i: SimulatedEndpoint(scenario) for i in known}
+        first_start = START_NS - LEAD_NS if scenario.all_start_first else 0
+        self.endpoints = {i: SimulatedEndpoint(scenario, started_at=first_start) for i in known}
         self.gateways = [self.new_gateway(position) for position in range(fleet.gateways)]
         self.incarnations = [0] * fleet.gateways  # events for an earlier incarnation are dropped
-        self.informed = [False] * fleet.gateways
+        self.informed = [scenario.all_start_first] * fleet.gateways
         self.events: list[ScheduledEvent] = []
         self.order = count()
         self.in_flight: dict[tuple[int, int], AttemptInFlight] = {}  # by request and attempt
         self.attempts: dict[int, int] = {}
         self.requests = 0
+        self.served_requests: set[int] = set()
+        self.request_times: list[tuple[int, int]] = []  # time and number of each request
 
     def new_gateway(self, position: int) -> DecisionEngine:
         return DecisionEngine(
@@ -170,18 +176,18 @@
         for position in positions:
             list_at = START_NS - LEAD_NS + rng.randrange(100 * MS)
             self.schedule(list_at, position, self.topology(ListKind.FULL))
-            self.schedule(START_NS + rng.randrange(50 * MS, 400 * MS), position, None)
+            for start in self.starts():
+                self.schedule(start + rng.randrange(50 * MS, 400 * MS), position, None)
         shares = list(accumulate(rng.lognormvariate(0.0, scenario.traffic_spread) for _ in positions))
         restarts = {START_NS + SLOW_START_NS // 2 + i * 20 * MS: i for i in range(scenario.gateway_restarts)}
         rate = self.requests_per_ns()
-        now, started = START_NS - LEAD_NS, False
-        while now < END_NS:
+        now, starts = START_NS - LEAD_NS, self.starts()
+        while now < START_NS + scenario.duration_ns:
             now += int(rng.expovariate(rate))
             while self.events and self.events[0].at <= now:
                 due = heappop(self.events)
-                if due.at >= START_NS and not started:
-                    started = True
-                    self.start_endpoints()
+                while starts and due.at >= starts[0]:
+                    self.start_endpoints(starts.pop(0))
                 if due.incarnation == self.incarnations[due.position]:
                     self.deliver(due.at, due.position, due.event)
             for at in [at for at in restarts if at <= now]:
@@ -189,6 +195,13 @@
             (position,) = rng.choices(positions, cum_weights=shares)
             self.send_request(now, position)
 
+    def starts(self) -> list[int]:
+        """Return the times at which endpoints start."""
+        interval = self.scenario.replacement_interval_ns
+        if self.scenario.all_start_first:
+            return []
+        return [START_NS + i * interval for i in range(len(self.starting))] if interval else [START_NS]
+
     def requests_per_ns(self) -> float:
         scenario, fleet = self.scenario, self.scenario.fleet
         warm_before = fleet.warm + fleet.starting * scenario.restarted
@@ -196,6 +209,7 @@
 
     def send_request(self, now: int, position: int) -> None:
         self.requests += 1
+        self.request_times.append((now, self.requests))
         made = arrival(
             self.requests,
             now,
@@ -206,11 +220,16 @@
         )
         self.handle(now, position, made)
 
-    def start_endpoints(self) -> None:
-        for i in self.failing:
+    def start_endpoints(self, now: int) -> None:
+        """Start all endpoints that are to start, or the next of those that replace one after the other."""
+        interval = self.scenario.replacement_interval_ns
+        due = (
+            slice((now - START_NS) // interval, (now - START_NS) // interval + 1) if interval else slice(None)
+        )
+        for i in self.failing[due]:
             self.endpoints[i].failed = True
-        for i in self.starting:
-            self.endpoints[i] = SimulatedEndpoint(self.scenario, started_at=START_NS)
+        for i in self.starting[due]:
+            self.endpoints[i] = SimulatedEndpoint(self.scenario, started_at=now)
 
     def restart_gateway(self, now: int, position: int) -> None:
         self.incarnations[position] += 1
@@ -227,6 +246,8 @@
             if (event.request_id, event.attempt) not in self.in_flight:
                 return
             del self.in_flight[event.request_id, event.attempt]
+            if event.outcome is Outcome.OK:
+                self.served_requests.add(event.request_id)
         self.handle(now, position, event)
 
     def handle(self, now: int, position: int, event: Event) -> None:
@@ -272,6 +293,11 @@
         result = ended(send.request_id, send.endpoint, outcome, attempt, elapsed=at - now, finished=finished)
         self.schedule(at, position, result)
 
+    def served_share(self, begin: int, end: int) -> float:
+        """Return which share of the requests that came between two times was served."""
+        numbers = [number for at, number in self.request_times if begin <= at < end]
+        return sum(number in self.served_requests for number in numbers) / len(numbers)
+
     def worst_load_ratio(self) -> float:
         """Return the highest load ratio of the endpoints that start; 0 without one."""
         return max((ratio for i in self.starting for ratio in self.endpoints[i].load_ratios()), default=0.0)
