--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,6 +26,9 @@
     parser.add_argument("--requests-per-s", type=float, default=12.0, help="at each gateway")
     parser.add_argument("--only", nargs="+", choices=[kind.value for kind in FaultKind], default=None)
     parser.add_argument("--failing-calls", action="store_true", help="let system calls fail now and then")
+    parser.add_argument(
+        "--crowd-every", type=int, default=3, help="seeds, one of which has a crowd throughout"
+    )
     parser.add_argument("--traces", action="store_true", help="show what was seen of broken requests")
     parser.add_argument("--logs", type=Path, default=None, help="folder for the gateways' logs")
     return parser.parse_args()
@@ -51,6 +54,7 @@
         order_servers=arguments.order_servers,
         requests_per_s=arguments.requests_per_s,
         kinds=kinds,
+        has_crowd=seed % arguments.crowd_every == 0,
         launch=launch,
         log_folder=None if arguments.logs is None else arguments.logs / str(seed),
     )
--- a/soak/checks/timing.py
+++ b/soak/checks/timing.py
@@ -16,6 +16,8 @@
     def __init__(self, record: Record) -> None:
         self._lags = record.lags  # in the order of their times
         self._lag_times = [lag.at for lag in record.lags]
+        self.bounds = 0  # that were asked for
+        self.widened_s: list[float] = []  # by how much bounds were widened, where they were
         self._pauses: dict[int, list[float]] = {}
         for process in record.processes:
             self._pauses.setdefault(process.gateway, []).extend(process.paused)
@@ -23,7 +25,11 @@
     def slack_s(self, gateway: int, begin: float, end: float) -> float:
         """Return the slack, in s, of a bound on what a gateway did between two times."""
         was_paused = any(begin - 2 * PAUSE_S <= at <= end for at in self._pauses.get(gateway, ()))
-        return self.lag_s(begin, end) + PAUSE_S * was_paused
+        slack_s = self.lag_s(begin, end) + PAUSE_S * was_paused
+        self.bounds += 1
+        if slack_s > 0.0:
+            self.widened_s.append(slack_s)
+        return slack_s
 
     def lag_s(self, begin: float, end: float) -> float:
         """Return the largest delay, in s, of the soak's own event loop between two times."""
--- a/soak/checks/verdict.py
+++ b/soak/checks/verdict.py
@@ -52,6 +52,8 @@
     violations: list[Violation]  # in the order of their times
     levels: Counter[ServiceLevel]
     attempts: int
+    bounds: int  # of time, that the checks applied
+    widened_s: list[float]  # by how much bounds were widened for lags of the soak and pauses, where they were
     final_share: float | None  # of requests served after recovery; None if they are too few
 
 
@@ -63,6 +65,8 @@
         violations=sorted(violations, key=lambda violation: violation.at),
         levels=Counter(_level(seen) for seen in record.requests),
         attempts=len(record.attempts),
+        bounds=history.timing.bounds,
+        widened_s=history.timing.widened_s,
         final_share=final_share(record),
     )
 
--- a/soak/clients/request_sender.py
+++ b/soak/clients/request_sender.py
@@ -6,7 +6,7 @@
 import random
 
 from soak.background_tasks import BackgroundTasks
-from soak.clients.connection import ClientConnection
+from soak.clients.connection import ClientConnection, ClientConnectionListener
 from soak.clients.request_generator import RequestGenerator
 from soak.gateways import Gateway, GatewayProcess
 from soak.observations import Record, RequestSeen
@@ -36,13 +36,18 @@
 
     # Connections.
 
-    async def connect(self, gateway: int, process: GatewayProcess) -> ClientConnection | None:
-        """Open a connection; return None where the process takes none."""
+    async def connect(
+        self, gateway: int, process: GatewayProcess, listener: ClientConnectionListener | None = None
+    ) -> ClientConnection | None:
+        """Open a connection; return None where the process takes none.
+
+        Without a listener of its own, others use it when it is idle.
+        """
         if not process.takes_new_connections:
             return None
         try:
             _, connection = await self._loop.create_connection(
-                lambda: ClientConnection(self, gateway, process), LOCALHOST, process.port
+                lambda: ClientConnection(listener or self, gateway, process), LOCALHOST, process.port
             )
         except OSError:
             return None
--- a/soak/clients/traffic.py
+++ b/soak/clients/traffic.py
@@ -8,6 +8,7 @@
 from soak.background_tasks import BackgroundTasks
 from soak.clients.connection import ClientConnection
 from soak.clients.invalid_commands import send_invalid
+from soak.clients.persistent_clients import PersistentClients
 from soak.clients.request_generator import RequestGenerator
 from soak.clients.request_sender import RequestSender
 from soak.gateways import Gateway, GatewayProcess
@@ -26,6 +27,8 @@
 MIN_IMPATIENT_S = 0.005
 MAX_IMPATIENT_S = 0.04
 CROWD_CONNECTIONS = 250  # a gateway with 400 descriptors holds 168 clients, with 256 it holds 96
+CROWD_DURATION_S = 2.0  # until a crowd that lasts throughout a run connects anew
+CROWDED_EVERY = 4  # gateways, where a crowd lasts throughout a run
 CLIENT_GAP_S = 0.02
 IN_CHUNKS_SHARE = 0.1  # of the regular requests
 
@@ -41,17 +44,22 @@
         self._rng = random.Random(f"traffic {seed}")
         self._generator = RequestGenerator(deployment, self._rng)
         self._sender = RequestSender(gateways, record, self._generator, self._rng)
+        self._persistent_clients = PersistentClients(self._sender)
         self._tasks = BackgroundTasks()
         self._stopped = False
 
-    def start(self) -> None:
-        """Begin to send to every gateway."""
+    def start(self, has_crowd: bool) -> None:
+        """Begin to send to every gateway; with a crowd, idle clients fill some gateways throughout."""
         for gateway in self._gateways:
             self._tasks.spawn(self._send_to(gateway))
+            self._tasks.spawn(self._persistent_clients.serve(gateway))
+            if has_crowd and gateway.position % CROWDED_EVERY == 0:
+                self._tasks.spawn(self._crowd_throughout(gateway.position))
 
     def stop(self) -> None:
         """Send no more regular requests, and no request again."""
         self._stopped = True
+        self._persistent_clients.stop()
         self._sender.stop_retries()
 
     # Regular requests.
@@ -136,6 +144,11 @@
             if connection is not None and not connection.is_closed:
                 connection.transport.close()
 
+    async def _crowd_throughout(self, gateway: int) -> None:
+        while not self._stopped:
+            await self.crowd(gateway, CROWD_DURATION_S)
+            await asyncio.sleep(CLIENT_GAP_S)
+
     async def misbehave(self, gateway: int, data: bytes) -> None:
         """Send bytes that are no command, and record how the gateway ends the connection."""
         process = self._process_for_new_connections(gateway)
--- a/soak/fault_injection/gateways.py
+++ b/soak/fault_injection/gateways.py
@@ -37,6 +37,8 @@
             FaultKind.RELOAD_LAGGING: lambda gateway, _: gateway.reload_to_lagging_agent(
                 self._lagging_version()
             ),
+            FaultKind.RELOAD_SERIES: lambda gateway, _: gateway.reload_in_series(),
+            FaultKind.RESTART_SERIES: lambda gateway, _: gateway.restart_with_more_signals(),
             FaultKind.PAUSE: lambda gateway, _: gateway.pause(),
             FaultKind.MAINTENANCE: self._maintain,
         }
--- a/soak/gateways/gateway.py
+++ b/soak/gateways/gateway.py
@@ -20,6 +20,9 @@
 TERMINATION_GRACE_S = 0.7  # between the longest deadline after SIGTERM and SIGKILL
 MAX_GRACE_DEADLINE_S = 3.0  # the longest deadline that the platform waits for
 PAUSE_S = 0.14
+SIGNAL_INTERVAL_S = 0.12  # within a series
+SIGNALS_AFTER_TERMINATION = (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+RELOADS_IN_SERIES = 3
 OVERLAP_S = 0.2  # of an upgrade, while both processes serve
 OLD_AGENT_CLOSES_AFTER_S = 1.5
 AGENT_LAG_S = 1.5
@@ -104,6 +107,19 @@
             process.signal(signal.SIGKILL)
         await process.wait_for_exit()
 
+    async def restart_with_more_signals(self) -> None:
+        """Restart, and send the process further signals after its SIGTERM."""
+        process = self.process
+        if process is None:
+            return
+        restart = asyncio.ensure_future(self.restart())
+        while process.seen.terminated_at is None and not restart.done():
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        for number in SIGNALS_AFTER_TERMINATION:
+            process.signal(number)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        await restart
+
     async def kill(self) -> None:
         """End the process by SIGKILL, and start the next one."""
         process = self.process
@@ -174,6 +190,12 @@
         self.moved_at.append(loop.time())
         loop.call_later(OLD_AGENT_CLOSES_AFTER_S, self._configuration.retire_unless_named, old_agent)
 
+    async def reload_in_series(self) -> None:
+        """Reload several times in quick succession."""
+        for _ in range(RELOADS_IN_SERIES):
+            self.reload()
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+
     def reload_to_silent_agent(self) -> None:
         """Reload with an agent that sends nothing on its next watch."""
         self.agents[1].mute_next_watch()
--- a/soak/options.py
+++ b/soak/options.py
@@ -23,6 +23,7 @@
     requests_per_s: float = 12.0  # at each gateway
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)  # among which faults are drawn
     faults: tuple[Fault, ...] | None = None  # in place of drawn ones
+    has_crowd: bool = False  # idle clients fill some gateways throughout
     launch: Launch = DEFAULT_LAUNCH
     deployment: Deployment | None = None
     log_folder: Path | None = None  # a temporary folder if None
--- a/soak/report.py
+++ b/soak/report.py
@@ -22,6 +22,8 @@
     lines = [
         f"seed {seed}: {len(record.requests)} requests {levels} attempts={verdict.attempts} "
         f"processes={len(record.processes)} final_share={final} own_lag_s={worst_lag_s:.3f}",
+        f"  bounds: {verdict.bounds} widened={len(verdict.widened_s)} "
+        f"widest_s={max(verdict.widened_s, default=0.0):.3f}",
         "  broken: " + (" ".join(f"{rule.value}={count}" for rule, count in rules.items()) or "none"),
     ]
     shown: Counter[Rule] = Counter()
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -108,7 +108,7 @@
             starts.append(self._loop.create_task(gateway.start()))
             await asyncio.sleep(START_STAGGER_S)
         await asyncio.gather(*starts)
-        self._traffic.start()
+        self._traffic.start(self._options.has_crowd)
 
     async def _inject_faults(self) -> None:
         begun_at = self._loop.time()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -26,6 +26,8 @@
     RELOAD_TORN = "reload_torn"  # SIGHUP on an incomplete file, then on the complete one
     RELOAD_SILENT = "reload_silent"  # SIGHUP to an agent whose first watch sends nothing
     RELOAD_LAGGING = "reload_lagging"  # SIGHUP to an agent that still has an older list
+    RELOAD_SERIES = "reload_series"  # SIGHUPs in quick succession, each with a new configuration
+    RESTART_SERIES = "restart_series"  # as restart, with further SIGTERMs and a SIGHUP before the end
     PAUSE = "pause"  # SIGSTOP for 0.14 s
     MAINTENANCE = "maintenance"  # operators disable an order server for a while
     # Discovery.
@@ -69,6 +71,8 @@
         FaultKind.RELOAD_TORN,
         FaultKind.RELOAD_SILENT,
         FaultKind.RELOAD_LAGGING,
+        FaultKind.RELOAD_SERIES,
+        FaultKind.RESTART_SERIES,
         FaultKind.PAUSE,
         FaultKind.MAINTENANCE,
         FaultKind.WATCH_SILENT,
