Clients: bytes that a read left in the socket count from that read

Cause: one read takes what fits into the loop's buffer, or what has come by then. The rest waited for the next turn of the loop, however late that was.

Change: a read of 4 KiB or more asks how much is left; what follows counts from that read until one empties the socket. Where more was read than buffers of Linux hold by default, the count begins later, so that a client that always sends faster than it is read is served on. The class of the pauses has this as a second beginning; it is InputBacklog now.

--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -15,9 +15,9 @@
 from .commands import CommandExecutor, RequestHandler
 from .deferred_input import DeferredInput, InputPiece
 from .hangup_monitor import HangupMonitor
+from .input_backlog import MIN_HELD_BACK_BYTES, InputBacklog
 from .loop_stalls import LoopStalls
 from .pending_replies import PendingReply, ReplyConnection, ReplyQueue
-from .reading_pauses import ReadingPauses
 from .receive_times import ReceiveTimes, late_receive_times
 from .socket_protocol import SocketAges
 
@@ -84,9 +84,9 @@
     """
 
     __slots__ = (
+        "_backlog",
         "_context",
         "_discarded_bytes",
-        "_pauses",
         "_queued_since_s",
         "_replies",
         "deferred",
@@ -101,7 +101,7 @@
         self._replies = replies
         self.reader = CommandReader(context.time)
         self.deferred = DeferredInput(context.buffers)
-        self._pauses = ReadingPauses()
+        self._backlog = InputBacklog()
         # When the bytes of the first read can have come at the earliest, if that was before the accept.
         self._queued_since_s: float | None = None
         self._discarded_bytes = 0
@@ -120,7 +120,7 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.update_reading(connection)
             return
-        piece = InputPiece(data, self._receive_times(connection))
+        piece = InputPiece(data, self._receive_times(connection, len(data)))
         if self.deferred:
             self.deferred.append(piece)
         else:
@@ -129,12 +129,18 @@
             self._reject_excess(connection)
             self.update_reading(connection)
 
-    def _receive_times(self, connection: InputConnection) -> ReceiveTimes:
+    def _receive_times(self, connection: InputConnection, size: int) -> ReceiveTimes:
         """Return when the bytes that are read now came."""
         now_s = self._context.time()
-        if self._pauses.has_unread_input():
-            received_at_s = self._pauses.received_at_s(now_s, not connection.unread_bytes())
+        if self._backlog.exists():
+            received_at_s = self._backlog.received_at_s(now_s, size, not connection.unread_bytes())
             return ReceiveTimes(received_at_s, received_at_s)
+        times = self._times_without_backlog(connection, now_s)
+        if size >= MIN_HELD_BACK_BYTES and connection.unread_bytes():
+            self._backlog.leave_unread(times.first_s)
+        return times
+
+    def _times_without_backlog(self, connection: InputConnection, now_s: float) -> ReceiveTimes:
         unread_since_s = self._context.stalls.stalled_since_s(now_s)
         if self._queued_since_s is not None:
             unread_since_s = self._queued_since_s
@@ -230,7 +236,7 @@
         if connection.set_reading(may_read):
             self._context.hangup_monitor.set_watched(connection, not may_read)
             if not may_read:
-                self._pauses.begin(self._context.time())
+                self._backlog.pause(self._context.time())
                 return
             self.reader.restart_timeout()
-            self._pauses.end(self._context.time(), connection.unread_bytes())
+            self._backlog.resume(self._context.time(), connection.unread_bytes())
