--- a/soak/gateways/gateway.py
+++ b/soak/gateways/gateway.py
@@ -115,9 +115,10 @@
         restart = asyncio.ensure_future(self.restart())
         while process.seen.terminated_at is None and not restart.done():
             await asyncio.sleep(SIGNAL_INTERVAL_S)
-        for number in SIGNALS_AFTER_TERMINATION:
-            process.signal(number)
-            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        if process.seen.terminated_at is not None:  # else a restart was going on already
+            for number in SIGNALS_AFTER_TERMINATION:
+                process.signal(number)
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
         await restart
 
     async def kill(self) -> None:
