Soak: all order servers replaced, and a broken gateway that forgets their capacity

Change: two faults that replace half of the servers each within 0.4 s, a test that the real gateway serves on, and the fix taken out as a broken gateway.

--- a/soak/mutants/__init__.py
+++ b/soak/mutants/__init__.py
@@ -25,6 +25,7 @@
         endpoints.ignore_drains,
         endpoints.ignore_reloads,
         endpoints.skip_slow_start,
+        endpoints.forget_capacity_without_warm_endpoints,
         quota.ignore_ceilings,
         responses.pass_values_on_at_once,
         responses.wait_for_slow_values,
--- a/soak/mutants/endpoints.py
+++ b/soak/mutants/endpoints.py
@@ -31,6 +31,16 @@
     patch(load_balancer_module, "SLOW_START_COST_FACTOR", 0.001)
 
 
+def forget_capacity_without_warm_endpoints() -> None:
+    """Count no completions while every endpoint is in slow start."""
+    record_capacity = SlowStart.record_capacity
+
+    def record_warm_only(self: SlowStart, now: int, endpoints: float, *_: Any) -> None:
+        record_capacity(self, now, endpoints, all_warming_up=False, sharers=1.0)
+
+    patch(SlowStart, "record_capacity", record_warm_only)
+
+
 def believe_older_lists() -> None:
     """Use the list of a lagging agent in place of a newer known one."""
     patch(WatchedList, "reconcile", lambda _, update: update)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -69,6 +69,8 @@
     fault(KIND.DRAIN, 3.0, 4.0),
 )
 
+REPLACE_ALL = (fault(KIND.REPLACE, 1.0), fault(KIND.REPLACE, 1.4))  # each half of those in service
+
 EXPECTED = {
     "lose_answers": (Rule.LOST, ()),
     "mix_values_up": (Rule.WRONG_VALUE, ()),
@@ -85,6 +87,7 @@
     "ignore_drains": (Rule.DRAIN, (fault(KIND.DRAIN, 1.5, 5.0),)),
     "ignore_reloads": (Rule.DRAIN, RELOAD_AND_DRAIN),
     "skip_slow_start": (Rule.SLOW_START, (replace(fault(KIND.REPLACE), targets=(0,)),)),
+    "forget_capacity_without_warm_endpoints": (Rule.RECOVERY, REPLACE_ALL),
     "ignore_ceilings": (Rule.CEILING, ()),
     "pass_values_on_at_once": (Rule.LOST, (LARGE, *PIPELINES)),
     "wait_for_slow_values": (Rule.LOST, LARGE_EVERYWHERE),
@@ -98,13 +101,13 @@
 }
 
 
-def options(name: str | None, faults: tuple[Fault, ...]) -> Options:
+def options(name: str | None, faults: tuple[Fault, ...], duration_s: float = DURATION_S) -> Options:
     command = (sys.executable, "-m", "qos_gateway" if name is None else "soak.mutants")
     launch = Launch(command if name is None else (*command, name))
     rule = None if name is None else EXPECTED[name][0]
     return Options(
         seed=SEED,
-        duration_s=RECOVERY_DURATION_S if rule is Rule.RECOVERY else DURATION_S,
+        duration_s=RECOVERY_DURATION_S if rule is Rule.RECOVERY else duration_s,
         gateways=GATEWAYS,
         order_servers=ORDER_SERVERS,
         requests_per_s=REQUESTS_PER_S,
@@ -154,6 +157,12 @@
         assert [violation.text for violation in verdict.violations] == []
 
 
+def test_real_gateway_serves_on_where_all_order_servers_are_replaced() -> None:
+    (verdict,) = play_all([options(None, REPLACE_ALL, RECOVERY_DURATION_S)])
+    assert [violation.text for violation in verdict.violations] == []
+    assert verdict.final_share is not None
+
+
 def test_real_gateway_breaks_no_rule_with_many_commands_at_once() -> None:
     scenarios = sorted({faults for _, faults in EXPECTED.values() if has_pipelines(faults)}, key=str)
     for verdict in play_all([options(None, faults) for faults in scenarios]):
