Clients: what a system held back during a stall counts from the stall

Cause, by a trace of reads and executions: the first read after the stall took what the socket had; its time was known. What the client's system had held back came after the late timer had run, and counted as just received.

--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -135,20 +135,31 @@
         if self._backlog.exists():
             received_at_s = self._backlog.received_at_s(now_s, size, not connection.unread_bytes())
             return ReceiveTimes(received_at_s, received_at_s)
-        times = self._times_without_backlog(connection, now_s)
+        unread_since_s = self._unread_since_s(now_s)
+        if unread_since_s is not None:
+            return self._late_receive_times(connection, now_s, unread_since_s, size)
         if size >= MIN_HELD_BACK_BYTES and connection.unread_bytes():
-            self._backlog.leave_unread(times.first_s)
+            self._backlog.leave_unread(now_s)
+        return ReceiveTimes(now_s, now_s)
+
+    def _unread_since_s(self, now_s: float) -> float | None:
+        """Return since when the socket may not have been read, None if it was read all along."""
+        queued_since_s = self._queued_since_s
+        if queued_since_s is None:
+            return self._context.stalls.stalled_since_s(now_s)
+        self._queued_since_s = None
+        return queued_since_s
+
+    def _late_receive_times(
+        self, connection: InputConnection, now_s: float, unread_since_s: float, size: int
+    ) -> ReceiveTimes:
+        """Return when bytes came that may have waited; what the socket had no room for comes later."""
+        times = late_receive_times(now_s, unread_since_s, connection.socket_ages())
+        if size >= MIN_HELD_BACK_BYTES:
+            self._backlog.pause(times.first_s)
+            self._backlog.resume(now_s, size)
         return times
 
-    def _times_without_backlog(self, connection: InputConnection, now_s: float) -> ReceiveTimes:
-        unread_since_s = self._context.stalls.stalled_since_s(now_s)
-        if self._queued_since_s is not None:
-            unread_since_s = self._queued_since_s
-            self._queued_since_s = None
-        if unread_since_s is None:
-            return ReceiveTimes(now_s, now_s)
-        return late_receive_times(now_s, unread_since_s, connection.socket_ages())
-
     def _execute_commands(self, connection: InputConnection, piece: InputPiece) -> None:
         """Execute the commands in a piece as far as that is allowed now, and defer the remainder."""
         context = self._context
--- a/tests/server/test_late_reads.py
+++ b/tests/server/test_late_reads.py
@@ -11,6 +11,8 @@
 import pytest
 
 from qos_gateway.server.clients import loop_stalls
+from qos_gateway.server.clients.connection import ClientConnection
+from qos_gateway.server.clients.connection_input import MAX_PIPELINED
 from qos_gateway.server.clients.loop_stalls import LoopStalls
 from qos_gateway.server.clients.receive_times import ReceiveTimes, late_receive_times
 from qos_gateway.server.clients.socket_protocol import SocketAges, socket_ages
@@ -34,6 +36,12 @@
     return sent_at
 
 
+def send_all(harness: GatewayHarness, sock: socket.socket, data: bytes) -> int:
+    """Send data, and return the time in ns at which its system had all of it."""
+    sock.sendall(data)
+    return harness.gateway.clock()
+
+
 async def blocking_client(harness: GatewayHarness) -> socket.socket:
     """Return a connected socket that is used without the event loop."""
     address = (LOOPBACK, harness.gateway.clients.port)
@@ -90,6 +98,30 @@
     run_on_loop(test)
 
 
+def test_deadline_includes_a_stall_where_the_socket_had_no_room_for_all_commands(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the client's system held back comes after the first read, and later than the stall is noted."""
+    monkeypatch.setattr(loop_stalls, "AFTERMATH_S", 0.0)
+    monkeypatch.setattr(ClientConnection, "unread_bytes", lambda _: 0)  # each read empties the socket
+    count = 40
+    commands = b"".join(call_command("submit", number=n, body=b"B" * 4_000) for n in range(count))
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            engine = script_engine(harness, *[leave_open] * count)
+            with await blocking_client(harness) as client, ThreadPoolExecutor() as pool:
+                await wait_until(lambda: harness.gateway.clients.connection_count() == 1)
+                sending = pool.submit(send_all, harness, client, commands)
+                time.sleep(2 * WAIT_S)  # blocks the loop on purpose
+                await wait_until(lambda: len(engine.arrivals) == MAX_PIPELINED)
+                sent_at = await asyncio.to_thread(sending.result)
+                for arrival in engine.arrivals:
+                    assert arrival.deadline <= sent_at + CLASS_DEADLINE_S * SECOND
+
+    run_on_loop(test)
+
+
 def test_stall_is_seen_before_and_after_the_late_timer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(loop_stalls, "CHECK_INTERVAL_S", 0.05)
 
