Soak: an attempt counts from when its bytes came, not from its order server's turn

Cause, by a trace of the gateways' writes: request 79 was written 12 ms after its client had sent it (3899.9655), and its order server noted it at 3900.4050. At 3899.952 and 3899.953 four requests to three gateways were sent, and all were noted between 3900.404 and 3900.405. The soak accepts a connection in several turns of its loop, and each turn is long on a busy machine; its lag monitor sees one turn.

Change: the system tells when the command's last byte came. The bounds are the same.

--- a/soak/order_servers/connection.py
+++ b/soak/order_servers/connection.py
@@ -8,6 +8,7 @@
 import hiredis
 
 from soak.observations import AttemptSeen
+from soak.socket_age import last_received_age_s
 
 IDLE_TIMEOUT_S = 0.3
 
@@ -48,8 +49,13 @@
         self._listener.on_connected(self)
 
     def data_received(self, data: bytes) -> None:
-        """Report each complete command."""
-        now = self._loop.time()
+        """Report each complete command, with the time at which the system received its last byte.
+
+        A new connection gets its protocol only some turns of the loop after its commands came.
+        """
+        if self._transport is None:
+            return
+        now = self._loop.time() - last_received_age_s(self._transport)
         if self._command_began_at is None:
             self._command_began_at = now
         self._reader.feed(data)
