--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -153,7 +153,7 @@
     def _late_receive_times(
         self, connection: InputConnection, now_s: float, unread_since_s: float, size: int
     ) -> ReceiveTimes:
-        """Return when bytes came that may have waited; what the socket had no room for comes later."""
+        """Return when bytes came that may have waited; bytes beyond the socket buffer come later."""
         times = late_receive_times(now_s, unread_since_s, connection.socket_ages())
         if size >= MIN_HELD_BACK_BYTES:
             self._backlog.pause(times.first_s)
--- a/qos_gateway/server/clients/input_backlog.py
+++ b/qos_gateway/server/clients/input_backlog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-MIN_HELD_BACK_BYTES = 4 << 10  # unread at the end of a pause; a socket with fewer has room for more
+MIN_HELD_BACK_BYTES = 4 << 10  # unread at the end of a pause; below it the socket buffer was not full
 HELD_BACK_GRACE_S = 0.25  # until a client's system has sent what it held back while the socket was full
 MAX_WAITING_BYTES = 12 << 20  # in the largest receive and send buffers that Linux uses by default
 
@@ -11,9 +11,8 @@
     """Tells since when the bytes of a read may have been waiting.
 
     A backlog begins with a pause of reading, or with a read that leaves bytes behind. An empty socket proves
-    little after a pause: what it had no room for is sent by the client's system some time after there is
-    room. All these bytes count from the beginning of the backlog, so that they never get more time than
-    their client has left.
+    little after a pause: bytes beyond its buffer are sent by the client's system some time later. All these
+    bytes count from the beginning of the backlog, so that no deadline exceeds the client's remaining time.
     """
 
     __slots__ = ("_began_at_s", "_emptied_at_s", "_halfway_at_s", "_may_be_held_back", "_read_bytes")
@@ -35,7 +34,7 @@
         self._emptied_at_s = 0.0
 
     def resume(self, now_s: float, unread_bytes: int) -> None:
-        """Note that reading goes on, with so many bytes in the socket."""
+        """Note that reading resumes, with this number of bytes in the socket."""
         if unread_bytes >= MIN_HELD_BACK_BYTES:
             self._may_be_held_back = True
         elif unread_bytes == 0:
--- a/soak/checks/timing.py
+++ b/soak/checks/timing.py
@@ -16,7 +16,7 @@
     def __init__(self, record: Record) -> None:
         self._lags = record.lags  # in the order of their times
         self._lag_times = [lag.at for lag in record.lags]
-        self.bounds = 0  # that were asked for
+        self.bounds = 0  # number of bounds that the checks applied
         self.widened_s: list[float] = []  # by how much bounds were widened, where they were
         self._pauses: dict[int, list[float]] = {}
         for process in record.processes:
