Soak: bytes are never dated before they were sent, so that attempts keep their order

Cause, by a trace of both attempts (request d0): the one at server 2 came at 1478.546 and was reset by the server's own fault in the same turn; its retry at server 3 was read at 1478.552, with an age of 8 ms, so it was dated 1478.544, before the attempt that it repeats. The system counts ages in ticks of its timer (4 ms here, 10 at most), so an age may be a tick too long, and the loop's own time is that of its turn's beginning. The gateway sent them one after the other.

The violation prints both attempts.

--- a/soak/checks/retries.py
+++ b/soak/checks/retries.py
@@ -47,7 +47,7 @@
         due_at = after.last_byte_at + CONCURRENCY_SLACK_S + slack_s
         overlaps = before.ended_at is None or before.ended_at > due_at
         if overlaps and before.gateway == after.gateway:
-            text = f"two attempts at once request={request_id}"
+            text = f"two attempts at once request={request_id} first={before} next={after}"
             found.append(Violation(Rule.CONCURRENT_ATTEMPTS, after.last_byte_at, text))
     return found
 
--- a/soak/order_servers/connection.py
+++ b/soak/order_servers/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Protocol, cast
 
 import hiredis
@@ -55,7 +56,8 @@
         """
         if self._transport is None:
             return
-        now = self._loop.time() - last_received_age_s(self._transport)
+        # The loop's own time is that of the beginning of its turn.
+        now = time.monotonic() - last_received_age_s(self._transport)
         if self._command_began_at is None:
             self._command_began_at = now
         self._reader.feed(data)
