Ejection: a deadline that comes before a response is due is no failure of the endpoint

Cause: each time-out counted, also one that came at the client's deadline before the mean latency of its class was over. It tells nothing of the endpoint.

Change: such a time-out only ends the attempt. A hung endpoint is found as before: by attempts that wait for longer than the mean latency, as all do that have the time.

Measured: the new test fails without the change.

--- a/qos_gateway/decisions/load_balancing/load_balancer.py
+++ b/qos_gateway/decisions/load_balancing/load_balancer.py
@@ -186,6 +186,8 @@
             return
         state.attempt_ended()
         outcome = event.outcome
+        if outcome is Outcome.TIMEOUT and relative_latency < 1.0:
+            return  # the client's deadline came before a response was due
         if outcome in CLASS_SAMPLES:
             class_index = class_and_plan[0]
             unanswered = float(outcome is Outcome.TIMEOUT)
--- a/tests/decisions/test_load_balancer.py
+++ b/tests/decisions/test_load_balancer.py
@@ -36,6 +36,17 @@
     assert {i for i, endpoint in fleet.registry.endpoints.items() if endpoint.ejected_until > 0} == left_out
 
 
+def test_deadlines_that_come_before_a_response_is_due_eject_no_endpoint() -> None:
+    # Clients with little time ejected slower endpoints that answered all others.
+    fleet = engine_alone().load_balancer
+    for i in range(10):
+        for endpoint_id in range(1, 5):
+            early = ended(i, endpoint_id, Outcome.TIMEOUT, elapsed=300 * MS)
+            fleet.attempt_ended(i * 100 * MS, early, (SAFE, 0), 0.5)
+    assert not any(endpoint.ejected_until for endpoint in fleet.registry.endpoints.values())
+    assert not any(endpoint.in_flight for endpoint in fleet.registry.endpoints.values())
+
+
 def test_draining_and_removed_endpoints_get_nothing() -> None:
     engine = engine_alone()
     engine.handle(MS, full_list(listed_endpoint(1, Health.DRAINING), kind=ListKind.DELTA))
