Congestion: latency that does not fall with the number in flight is a delay, not a queue

Cause: all latency beyond the baseline, which moves by 1% a second, was taken for a queue. The limit on all in flight fell; latency stayed; the fit to fewer in flight gave a longer queue, so that the limit fell to its least. Nobody looked at what lowering it had brought.

Change: during congestion latencies are kept by the time of sending, in periods of half a second with their number in flight. The least squares line over the number in flight gives both: its slope is the queue, its value at none the delay. Where the slope and three standard errors are less than half of what a queue would have, the baselines are raised to the delay, and the limit goes. Where the latency then rises by a quarter of the wait within 5 s, the conclusion is taken back, and none follows for 10 s, doubled each time.

The new tests of the delay fail without it.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
     endpoint_lists,
     engine_instances,
     gateway_restarts,
+    latency_change,
     quota_leases,
     time_to_ready,
     zone_outage,
@@ -25,6 +26,7 @@
     zone_outage,
     connection_counts,
     gateway_restarts,
+    latency_change,
     added_latency,
     time_to_ready,
 )
--- a/qos_gateway/decisions/congestion/class_latency.py
+++ b/qos_gateway/decisions/congestion/class_latency.py
@@ -55,6 +55,12 @@
         grown = self.baseline * growth
         self.baseline = min(grown, self.mean.value) if grown else self.mean.value
 
+    def scale_baseline(self, factor: float) -> None:
+        """Multiply the baseline, and raise a mean below it: the older latencies are no longer typical."""
+        self.baseline *= factor
+        if 0.0 < self.mean.value < self.baseline:
+            self.mean.scale_values(self.baseline / self.mean.value)
+
     def baseline_or_mean(self) -> float:
         """Return the baseline, or the mean while that is unknown; 0 without any response."""
         return self.baseline or self.mean.value
--- a/qos_gateway/decisions/congestion/queue_model.py
+++ b/qos_gateway/decisions/congestion/queue_model.py
@@ -7,6 +7,7 @@
 from ..statistics.decaying_mean import DecayingMean
 from ..statistics.time_constants import LONG_MEMORY_NS, SHORT_MEMORY_NS, TICK_INTERVAL_NS
 from .class_latency import ClassLatency
+from .delay_detection import DelayDetection
 from .mean_value_analysis import ClosedNetwork
 from .outstanding_attempt import OutstandingAttempt
 
@@ -34,6 +35,7 @@
         self.mean_latency = 0.0  # over all classes
         self.delay = 0.0  # mean latency outside the queue, over all classes
         self.network = ClosedNetwork()
+        self.delay_detection = DelayDetection()
         self.congested = False
         self.concurrency_limit: int | None = None  # None without congestion
 
@@ -63,6 +65,7 @@
             self.mean_latency = (total + delay / weight) / (weight + 1.0)
             self.delay = min(delay / weight, self.mean_latency)
             self._detect_congestion(CONGESTION_THRESHOLD * headroom / weight)
+            self._detect_delay(now)
 
     def _detect_congestion(self, noise: float) -> None:
         """Detect a wait beyond `noise` (ns), and fit the network and the concurrency limit to it."""
@@ -74,6 +77,32 @@
             within = self.network.in_flight_within(TARGET_WAIT_FRACTION * headroom)
             self.concurrency_limit = max(MIN_CONCURRENCY_LIMIT, within)
 
+    def add_latency(self, now: int, class_index: int, latency: int) -> None:
+        """Add the latency of a successful attempt that has just ended."""
+        self.class_latency[class_index].add(now, latency)
+        if self.congested:
+            self.delay_detection.add(now - latency, latency)
+
+    def _detect_delay(self, now: int) -> None:
+        """Where latencies show that the wait is no queue, take it for the delay that it is."""
+        detection = self.delay_detection
+        refuted = detection.refuted_delay(now, self.mean_latency)
+        if refuted is not None:
+            self._scale_baselines(min(refuted, self.delay))
+        if not self.congested:
+            detection.end_congestion()
+            return
+        detection.begin_period(now, self.mean_in_flight.value)
+        found = detection.find_delay(now, self.delay)
+        if found is not None:
+            self._scale_baselines(found)
+
+    def _scale_baselines(self, delay: float) -> None:
+        """Scale the baselines of all classes so that their mean is `delay` (ns)."""
+        if self.delay > 0.0:
+            for latency in self.class_latency:
+                latency.scale_baseline(delay / self.delay)
+
     def headroom(self, class_index: int) -> float:
         """Return the time between the class's baseline and its latency objective."""
         objective = self.objectives[class_index]
--- a/qos_gateway/decisions/requests/dispatcher.py
+++ b/qos_gateway/decisions/requests/dispatcher.py
@@ -88,7 +88,7 @@
             self.quota.record_usage(now, request.account, event.quota_usage - 1)
         class_latency = self.model.class_latency[class_index]
         if event.outcome is Outcome.OK:
-            class_latency.add(now, event.elapsed)
+            self.model.add_latency(now, class_index, event.elapsed)
             if self.settings.settles_actual_units and event.actual_units:
                 request.account.buckets.settle(event.actual_units - request.arrival.units)
         relative_latency = event.elapsed / max(1.0, class_latency.mean.value)
--- /dev/null
+++ b/tests/decisions/test_delay_detection.py
@@ -0,0 +1,108 @@
+"""A longer delay of all endpoints is told from a queue, and sheds no requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.latency_change import (
+    FAST,
+    QUEUE,
+    SLOWER_QUEUE,
+    LatencyScenario,
+    fixed,
+    queue_scenario,
+    settled_share,
+)
+from qos_gateway.decisions.congestion.delay_detection import (
+    FIRST_PAUSE_NS,
+    MIN_PERIODS,
+    PERIOD_NS,
+    TRIAL_NS,
+    DelayDetection,
+)
+from tests.support.builders import MS, SECOND
+
+SEEDS = (1, 2)
+MIN_SERVED_AT_600_MS = 0.66 / (2 / 3)  # two in three clients wait long enough
+MIN_SERVED_AT_250_MS = 0.95
+SAMPLING_ERROR = 0.02  # of a share over 20 s and two seeds
+KNOWN_DELAY = 50 * MS
+FIRST_SEND = 100 * SECOND
+
+
+def mean(shares: list[float]) -> float:
+    return sum(shares) / len(shares)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_slower_endpoints_without_a_queue_are_used_as_before(seed: int) -> None:
+    # The limit on all in flight fell to its least for as long as endpoints were slower.
+    slow = LatencyScenario(before=FAST, changed=fixed(0.25), seed=seed)
+    slowest = LatencyScenario(before=FAST, changed=fixed(0.6), seed=seed)
+    assert settled_share(slow) >= MIN_SERVED_AT_250_MS
+    assert settled_share(slowest, min_wait_s=0.6) >= MIN_SERVED_AT_600_MS
+
+
+@pytest.mark.parametrize(("gateways", "load"), [(3, 1.0), (3, 2.0), (3, 4.0), (40, 2.0)])
+def test_queue_is_limited_as_without_the_detection(
+    monkeypatch: pytest.MonkeyPatch, gateways: int, load: float
+) -> None:
+    scenarios = [queue_scenario(QUEUE, load, gateways, seed) for seed in SEEDS]
+    served = mean([settled_share(scenario) for scenario in scenarios])
+    monkeypatch.setattr(DelayDetection, "find_delay", lambda *_: None)
+    assert served >= mean([settled_share(scenario) for scenario in scenarios]) - SAMPLING_ERROR
+
+
+@pytest.mark.parametrize("load", [0.8, 2.0])
+def test_delay_with_a_queue_serves_more_than_without_the_detection(
+    monkeypatch: pytest.MonkeyPatch, load: float
+) -> None:
+    scenario = queue_scenario(SLOWER_QUEUE, load)
+    served = settled_share(scenario)
+    monkeypatch.setattr(DelayDetection, "find_delay", lambda *_: None)
+    assert served > settled_share(scenario)
+
+
+def congested_detection(latency_by_in_flight: dict[int, int]) -> tuple[DelayDetection, int]:
+    """Return a detection after periods with these numbers in flight, and the time then."""
+    detection = DelayDetection()
+    now = FIRST_SEND
+    for in_flight, latency in latency_by_in_flight.items():
+        detection.begin_period(now, in_flight)
+        for _ in range(8):
+            detection.add(now, latency)
+        now += PERIOD_NS
+    return detection, now + SECOND
+
+
+def test_latency_that_does_not_fall_with_the_number_in_flight_is_a_delay() -> None:
+    detection, now = congested_detection(dict.fromkeys((10, 8, 6, 4), 600 * MS))
+    assert detection.find_delay(now, KNOWN_DELAY) == pytest.approx(600 * MS)
+
+
+def test_latency_that_falls_with_the_number_in_flight_is_a_queue() -> None:
+    detection, now = congested_detection({n: n * 60 * MS for n in (10, 8, 6, 4)})
+    assert detection.find_delay(now, KNOWN_DELAY) is None
+
+
+def test_nothing_is_concluded_from_one_number_in_flight_or_few_periods() -> None:
+    detection, now = congested_detection({10: 600 * MS})
+    assert detection.find_delay(now, KNOWN_DELAY) is None
+    numbers = range(10, 10 - MIN_PERIODS + 1, -1)
+    detection, now = congested_detection(dict.fromkeys(numbers, 600 * MS))
+    assert detection.find_delay(now, KNOWN_DELAY) is None
+
+
+def test_conclusion_is_taken_back_where_the_latency_rises_after_it() -> None:
+    detection, now = congested_detection(dict.fromkeys((10, 8, 6, 4), 600 * MS))
+    detection.find_delay(now, KNOWN_DELAY)
+    assert detection.refuted_delay(now + SECOND, 620 * MS) is None
+    assert detection.refuted_delay(now + SECOND, 800 * MS) == KNOWN_DELAY
+    assert detection.find_delay(now + SECOND + FIRST_PAUSE_NS // 2, KNOWN_DELAY) is None
+
+
+def test_conclusion_that_held_for_a_while_is_kept() -> None:
+    detection, now = congested_detection(dict.fromkeys((10, 8, 6, 4), 600 * MS))
+    detection.find_delay(now, KNOWN_DELAY)
+    assert detection.refuted_delay(now + TRIAL_NS + 1, 600 * MS) is None
+    assert detection.refuted_delay(now + TRIAL_NS + 2, 2 * SECOND) is None
