Handover: state of a process whose clock was ahead is read by the clock of the next one

Seen: the next process of an upgrade after the wall clock was set back by an hour raised OverflowError in every tick (QueueModel.fit, DecayingMean.rate), so that neither congestion nor caps nor late requests were handled, and an endpoint ejected for 1 s stayed out for an hour. With 5 s the means of the old process weighed e^5 times too much.

Cause: each process reads the wall clock once, at its start, and times of the captured state were taken over as they were. Updates then lay in the future.

Nothing is stored in addition, so the form of the state is the same. A clock that reads later is harmless to what is restored, but for a slow start that is cut short.

--- a/qos_gateway/decisions/snapshot.py
+++ b/qos_gateway/decisions/snapshot.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from .statistics.decaying_mean import DecayingMean
@@ -49,6 +49,10 @@
         self.copy_to(mean)
         return mean
 
+    def moved(self, shift: int) -> MeanSnapshot:
+        """Return the state with its time moved by `shift` (ns)."""
+        return replace(self, updated_at=self.updated_at + shift)
+
     def copy_to(self, mean: DecayingMean) -> None:
         """Replace the state of a mean by this one."""
         mean.updated_at = self.updated_at
@@ -73,6 +77,15 @@
     long_demand: MeanSnapshot
     grant_ratio: MeanSnapshot
 
+    def moved(self, shift: int) -> AccountSnapshot:
+        """Return the account with its times moved by `shift` (ns)."""
+        return replace(
+            self,
+            reported_at=_moved(self.reported_at, shift),
+            long_demand=self.long_demand.moved(shift),
+            grant_ratio=self.grant_ratio.moved(shift),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointSnapshot:
@@ -88,6 +101,16 @@
     assumed_start: int
     slowness: MeanSnapshot
 
+    def moved(self, shift: int) -> EndpointSnapshot:
+        """Return the endpoint with its times moved by `shift` (ns), except for the reported start."""
+        return replace(
+            self,
+            ejected_until=_moved(self.ejected_until, shift),
+            disabled_at=_moved(self.disabled_at, shift),
+            assumed_start=_moved(self.assumed_start, shift),
+            slowness=self.slowness.moved(shift),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class LoadBalancerSnapshot:
@@ -97,6 +120,14 @@
     admin_disabled: dict[int, int]  # endpoint to the time since which it is disabled
     warm_completions: MeanSnapshot
 
+    def moved(self, shift: int) -> LoadBalancerSnapshot:
+        """Return the state with its times moved by `shift` (ns)."""
+        return LoadBalancerSnapshot(
+            endpoints=tuple(endpoint.moved(shift) for endpoint in self.endpoints),
+            admin_disabled={endpoint: _moved(at, shift) for endpoint, at in self.admin_disabled.items()},
+            warm_completions=self.warm_completions.moved(shift),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class EngineSnapshot:
@@ -110,6 +141,35 @@
     retry_tokens: float
     lease_fractions: dict[int, dict[int, float]]  # by customer and term
 
+    def at_clock(self, now: int) -> EngineSnapshot:
+        """Return the snapshot with no update later than `now` (ns), by the clock of the next process.
+
+        Each process reads the wall clock once, at its start. Where that was stepped back in between,
+        all times of the snapshot are too late by the step; the latest update then counts as of now.
+        """
+        shift = now - self._latest_update()
+        if shift >= 0:
+            return self
+        return replace(
+            self,
+            accounts=tuple(account.moved(shift) for account in self.accounts),
+            load_balancer=self.load_balancer.moved(shift),
+            latency=tuple(mean.moved(shift) for mean in self.latency),
+        )
+
+    def _latest_update(self) -> int:
+        """Return when the newest of the means was updated."""
+        means = [self.load_balancer.warm_completions, *self.latency]
+        means += [endpoint.slowness for endpoint in self.load_balancer.endpoints]
+        means += [account.long_demand for account in self.accounts]
+        means += [account.grant_ratio for account in self.accounts]
+        return max(mean.updated_at for mean in means)
+
+
+def _moved(time: int, shift: int) -> int:
+    """Return a time moved by `shift`; times that are not positive stand for never."""
+    return time + shift if time > 0 else time
+
 
 def encode_snapshot(snapshot: EngineSnapshot) -> JsonObject:
     """Return the JSON form of a snapshot."""
