Slow start: a start counts by when this process was told where the clocks must differ

Cause: the age of a start was the gateway's clock less `born_ms` of the list, whatever the two clocks read.

Change: an endpoint cannot start in the future, and one that started more than 10 s before the last list that this process received would have been on that. In both cases the slow start counts from when the process was told. The start goes on to the next process as the assumed start, which the stored form has already. Starts in the first list of a process, or after its cached one, are taken as reported: nothing tells a clock that is ahead from an old start there. A clock that is ahead by less than 10 s gives up to that much of the slow start away.

With equal clocks no start is corrected, unless an endpoint comes back that has left the list for good.

--- a/qos_gateway/decisions/load_balancing/endpoint_registry.py
+++ b/qos_gateway/decisions/load_balancing/endpoint_registry.py
@@ -7,9 +7,12 @@
 from collections.abc import Iterable, Mapping
 
 from ...types import Endpoint, Health, ListKind, Topology
+from ...units import SECOND
 from ..snapshot import EndpointSnapshot
 from .endpoint_state import EndpointState, SlowStartBucket
 
+MAX_LISTING_DELAY_NS = 10 * SECOND  # between the start of an endpoint and its entry in the list
+
 
 class EndpointRegistry:
     """Endpoints by id, and which of them are usable, unlisted or disabled."""
@@ -20,10 +23,21 @@
         self.admin_disabled: dict[int, int] = {}  # by operators, since when; independent of the endpoint list
         self.ring: list[int] = []  # sorted ids of all usable endpoints: the same order at every gateway
         self.unlisted: set[int] = set()  # ids known but not on the endpoint list
+        self._listed_at: int | None = None  # time of the last list that this process received
 
     def _new_state(self, now: int, endpoint: Endpoint) -> EndpointState:
         # A random part of a token: many gateways that start with a whole one would send at the same time.
-        return EndpointState(endpoint, SlowStartBucket(self._rng.random(), now))
+        bucket = SlowStartBucket(self._rng.random(), now)
+        return EndpointState(endpoint, bucket, self._corrected_start(now, endpoint.started_at))
+
+    def _corrected_start(self, now: int, reported: int) -> int:
+        """Return `now` where a reported start cannot be true by this process's clock, else 0.
+
+        No endpoint starts in the future, and one that started long before the last list was on that.
+        """
+        is_future = reported > now
+        is_too_old = self._listed_at is not None and reported < self._listed_at - MAX_LISTING_DELAY_NS
+        return now if reported and (is_future or is_too_old) else 0
 
     def update_list(self, now: int, event: Topology) -> set[int]:
         """Apply a full list or the changes to it; return the ids of endpoints that may have changed."""
@@ -34,6 +48,8 @@
             changed |= self.endpoints.keys()
         for entry in event.entries:
             self._update_entry(now, entry)
+        if event.kind in (ListKind.FULL, ListKind.DELTA):
+            self._listed_at = now
         if is_full:  # sorted once: insertion one by one takes quadratic time
             self.ring = sorted(endpoint_id for endpoint_id in changed if self.is_usable(endpoint_id))
         for endpoint_id in changed:
--- a/qos_gateway/decisions/load_balancing/endpoint_state.py
+++ b/qos_gateway/decisions/load_balancing/endpoint_state.py
@@ -52,6 +52,7 @@
 
     endpoint: Endpoint
     slow_start_bucket: SlowStartBucket
+    corrected_start: int = 0  # where the reported start cannot be true by this gateway's clock
     # Latency relative to the mean of the request's class.
     slowness: DecayingMean = field(default_factory=lambda: DecayingMean(SHORT_MEMORY_NS))
     ejection_time: int = BASE_EJECTION_TIME_NS  # length of the next ejection
@@ -64,15 +65,20 @@
     overloaded_until: dict[ClassAndPlan, int] = field(default_factory=dict)  # assumed so after a rejection
     last_result_by_class: dict[int, ClassResult] = field(default_factory=dict)
     disabled_at: int = 0  # start of the last administrative disabling that has ended
-    assumed_start: int = 0  # start of slow start while the list reports no start since the disabling
+    assumed_start: int = 0  # start of slow start while the list reports no start, or no credible one
+
+    @property
+    def started_at(self) -> int:
+        """Start by this gateway's clock, 0 for long ago."""
+        return self.corrected_start or self.endpoint.started_at
 
     @property
     def slow_start_at(self) -> int:
         """Start of the slow start window, 0 for an endpoint without one."""
-        reported = self.endpoint.started_at
+        started = self.corrected_start or self.endpoint.started_at
         assumed = self.assumed_start
         # No call of max(): this is read several times for each endpoint of the subset at each request.
-        return reported if reported > assumed else assumed
+        return started if started > assumed else assumed
 
     def update(self, endpoint: Endpoint) -> None:
         """Apply a new entry of the endpoint list."""
@@ -87,7 +93,7 @@
         """Copy from the state before a restart of the endpoint what is still valid."""
         self.in_flight = previous.in_flight
         self.disabled_at = previous.disabled_at
-        if self.endpoint.started_at < previous.disabled_at:
+        if self.started_at < previous.disabled_at:
             self.assumed_start = previous.assumed_start
 
     def continue_after_disabling(self, previous: EndpointState, now: int, disabled_at: int) -> None:
@@ -96,10 +102,11 @@
         The endpoint may have been restarted since and the list may be late, so slow start is assumed to
         begin now unless a start since `disabled_at` is known.
         """
+        self.corrected_start = previous.corrected_start
         self.in_service = previous.in_service
         self.in_flight = previous.in_flight
         self.disabled_at = disabled_at
-        if self.endpoint.started_at < disabled_at:
+        if self.started_at < disabled_at:
             self.assumed_start = now
 
     def attempt_started(self) -> None:
@@ -148,7 +155,7 @@
             consecutive_failures=self.consecutive_failures,
             slow_start_tokens=self.slow_start_bucket.tokens,
             disabled_at=self.disabled_at,
-            assumed_start=self.assumed_start,
+            assumed_start=max(self.assumed_start, self.corrected_start),
             slowness=MeanSnapshot.of(self.slowness),
         )
 
@@ -165,4 +172,6 @@
         self.slow_start_bucket = SlowStartBucket(snapshot.slow_start_tokens, now)
         self.disabled_at = snapshot.disabled_at
         self.assumed_start = snapshot.assumed_start
+        if self.corrected_start and snapshot.assumed_start:
+            self.corrected_start = snapshot.assumed_start
         self.slowness = snapshot.slowness.to_mean()
