Process: a repeated SIGTERM or SIGINT at its end does not kill a process that stops

Cause: the loop removes its signal handlers when it closes, after the last response; a signal between that and the end of the process had its default action. SIGHUP was blocked by then, SIGTERM and SIGINT were not.

Change: all three are blocked once the gateway has stopped; nothing is left to do then.

Measured: the new test sends a signal every half millisecond until the process ends; with SIGTERM and SIGINT it failed before (status -15 and -2), with SIGHUP it passed.

--- a/qos_gateway/__main__.py
+++ b/qos_gateway/__main__.py
@@ -55,7 +55,7 @@
     await gateway.stop()
     reloader.close()
     # The loop removes its handlers when it closes.
-    signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS)
+    signal.pthread_sigmask(signal.SIG_BLOCK, RELOAD_SIGNALS.union(STOP_SIGNALS))
 
 
 def log_start(gateway: GatewayProcess, loaded_at_s: float, configured_at_s: float) -> None:
--- a/tests/server/test_process.py
+++ b/tests/server/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -134,6 +135,24 @@
     run_on_loop(test)
 
 
+@pytest.mark.parametrize("repeated", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signals_up_to_its_end_do_not_kill_a_process_that_stops(
+    tmp_path: Path, repeated: signal.Signals
+) -> None:
+    # A signal after the loop had removed its handlers ended the process with status -15.
+    async def test() -> None:
+        async with running(tmp_path) as p:
+            p.process.send_signal(signal.SIGTERM)
+            await p.logged(b"stopping")
+            while p.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    p.process.send_signal(repeated)
+                await asyncio.sleep(0.0005)
+            assert p.process.returncode == 0
+
+    run_on_loop(test)
+
+
 def test_restart_after_a_kill_serves_without_any_state(tmp_path: Path) -> None:
     async def test() -> None:
         for number in (1, 2):
