--- a/qos_gateway/server/handover/messages.py
+++ b/qos_gateway/server/handover/messages.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ...decisions.snapshot import (
-    EngineSnapshot,
+from ...decisions.snapshot import EngineSnapshot
+from ...decisions.snapshot_format import (
     JsonObject,
     SnapshotFormatError,
     decode_snapshot,
--- a/tests/server/test_handover_channel.py
+++ b/tests/server/test_handover_channel.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from qos_gateway.decisions.snapshot import decode_snapshot
+from qos_gateway.decisions.snapshot_format import decode_snapshot
 from qos_gateway.server.handover import connection as handover_connection
 from qos_gateway.server.handover import open_connections
 from qos_gateway.server.handover.channel import HandoverChannel
--- a/tests/server/test_handover_messages.py
+++ b/tests/server/test_handover_messages.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from qos_gateway.decisions.snapshot import SnapshotFormatError, decode_snapshot
+from qos_gateway.decisions.snapshot_format import SnapshotFormatError, decode_snapshot
 from qos_gateway.server.handover.messages import (
     Acknowledgement,
     EndpointDisabled,
--- a/tests/state/test_handover_snapshot.py
+++ b/tests/state/test_handover_snapshot.py
@@ -8,7 +8,7 @@
 
 from qos_gateway.decisions.engine import DecisionEngine
 from qos_gateway.decisions.handover import complete
-from qos_gateway.decisions.snapshot import SnapshotFormatError
+from qos_gateway.decisions.snapshot_format import SnapshotFormatError
 from qos_gateway.types import CounterReplied, Outcome, Send, SetEndpointEnabled
 from tests.support.builders import SECOND, arrival, ended, full_list, listed_endpoint, plan, settings
 from tests.support.handover import capture_json, restore_json
--- a/tests/support/handover.py
+++ b/tests/support/handover.py
@@ -7,7 +7,7 @@
 
 from qos_gateway.decisions.engine import DecisionEngine
 from qos_gateway.decisions.handover import capture, restore
-from qos_gateway.decisions.snapshot import decode_snapshot, encode_snapshot
+from qos_gateway.decisions.snapshot_format import decode_snapshot, encode_snapshot
 from qos_gateway.server.handover.handover import FRACTIONS
 from qos_gateway.types import Settings
 
--- a/tests/test_source_limits.py
+++ b/tests/test_source_limits.py
@@ -20,6 +20,7 @@
     "__init__": set(),
     "statistics": set(),
     "snapshot": {"statistics"},
+    "snapshot_format": {"snapshot"},
     "congestion": {"statistics"},
     "load_balancing": MODELS,
     "quota": MODELS,
