Benchmarks: simulated endpoints of a latency change have a module of their own

Change: endpoints are in endpoint_latency.py, ends come from the builder. Measured: the 13 tests of delay detection pass as before.

--- a/benchmarks/latency_change.py
+++ b/benchmarks/latency_change.py
@@ -4,10 +4,10 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
-from heapq import heapreplace
+from dataclasses import dataclass, replace
 from itertools import count
 
+from benchmarks.endpoint_latency import EndpointLatency, SimulatedEndpoint
 from benchmarks.event_queue import EventQueue
 from benchmarks.tables import Column, print_timed_table, report_progress
 from qos_gateway.decisions.engine import DecisionEngine
@@ -22,28 +22,17 @@
     TimerFired,
 )
 from qos_gateway.units import MILLISECOND, SECOND
-from tests.support.builders import CLASSES, arrival, full_list, listed_endpoint, plan, settings
+from tests.support.builders import CLASSES, arrival, ended, full_list, listed_endpoint, plan, settings
 
 OBJECTIVE_NS = 800 * MILLISECOND
 CLIENT_WAITS_NS = (300 * MILLISECOND, 900 * MILLISECOND, 2 * SECOND)
 CLASS_DEADLINE_NS = 3 * SECOND
 CUSTOMERS = 30
 AMPLE_PLAN = plan(rate=100.0, burst=100.0)  # more than any customer needs
-MAX_QUEUE_NS = 1 * SECOND  # an endpoint rejects what would wait longer
 REJECTION_NS = 2 * MILLISECOND
 FIRST_ENGINE_SEED = 7
 
 
-@dataclass(frozen=True, kw_only=True)
-class EndpointLatency:
-    """How long endpoints take for a request, whatever else is in flight and with what is."""
-
-    min_delay_s: float
-    max_delay_s: float
-    slots: int = 0  # requests that are worked on at once; 0: no queue
-    work_s: float = 0.0  # mean time in a slot
-
-
 @dataclass(frozen=True, kw_only=True)
 class LatencyScenario:
     """One change of the latency of all endpoints, and back."""
@@ -60,28 +49,6 @@
     seed: int = 1
 
 
-@dataclass
-class SimulatedEndpoint:
-    """Slots with one queue, behind a delay."""
-
-    slot_free_at: list[int] = field(default_factory=list)  # a heap
-
-    def response_at(self, now: int, latency: EndpointLatency, rng: random.Random) -> int | None:
-        """Return when a response is sent, None if the request is rejected."""
-        delay = int(rng.uniform(latency.min_delay_s, latency.max_delay_s) * SECOND)
-        if not latency.slots:
-            return now + delay
-        while len(self.slot_free_at) < latency.slots:
-            self.slot_free_at.insert(0, 0)
-        del self.slot_free_at[latency.slots :]
-        if self.slot_free_at[0] - now > MAX_QUEUE_NS:
-            return None
-        work = int(latency.work_s * rng.uniform(0.5, 1.5) * SECOND)
-        end = max(now, self.slot_free_at[0]) + work
-        heapreplace(self.slot_free_at, end)
-        return end + delay
-
-
 @dataclass(frozen=True, slots=True)
 class GatewayEvent:
     """An event for one gateway; None is the next arrival at any gateway."""
@@ -198,13 +165,13 @@
         if at > limit:
             at, outcome = limit, Outcome.TIMEOUT
         self._in_flight[number, attempt] = (send.endpoint, now)
-        ended = _ended(number, send.endpoint, outcome, at - now, attempt)
-        self._queue.schedule(at, GatewayEvent(gateway, ended))
+        end = ended(number, send.endpoint, outcome, attempt, elapsed=at - now)
+        self._queue.schedule(at, GatewayEvent(gateway, end))
 
     def _cancel(self, now: int, gateway: int, action: CancelAttempt) -> None:
         endpoint, sent_at = self._in_flight[action.request_id, action.attempt]
-        ended = _ended(action.request_id, endpoint, Outcome.CANCELLED, now - sent_at, action.attempt)
-        self._queue.schedule(now, GatewayEvent(gateway, ended))
+        end = ended(action.request_id, endpoint, Outcome.CANCELLED, action.attempt, elapsed=now - sent_at)
+        self._queue.schedule(now, GatewayEvent(gateway, end))
 
 
 def _settings(scenario: LatencyScenario, position: int) -> Settings:
@@ -220,20 +187,6 @@
     )
 
 
-def _ended(number: int, endpoint: int, outcome: Outcome, elapsed: int, attempt: int) -> AttemptEnded:
-    return AttemptEnded(
-        request_id=number,
-        request_finished=outcome is Outcome.OK,
-        actual_units=0,
-        endpoint=endpoint,
-        quota_usage=0,
-        outcome=outcome,
-        elapsed=elapsed,
-        attempt=attempt,
-        load_report=(),
-    )
-
-
 def fixed(delay_s: float) -> EndpointLatency:
     """Return the latency of endpoints without a queue."""
     return EndpointLatency(min_delay_s=delay_s, max_delay_s=delay_s)
