Tests: scenarios of slow start have a module of their own; two comments and a name

Change: scenarios and endpoints moved to slow_start_scenario.py as they were; the delay that is known is the baseline delay.

--- a/qos_gateway/decisions/congestion/delay_detection.py
+++ b/qos_gateway/decisions/congestion/delay_detection.py
@@ -18,7 +18,7 @@
 MIN_PERIODS = 4  # the first ones are those in which the latency changes
 MIN_IN_FLIGHT_DEVIATION = 0.05  # of the mean number in flight
 SIGNIFICANT_ERRORS = 3.0  # standard errors of the slope
-MAX_QUEUE_SHARE = 0.5  # of the wait, for the rest to count as a delay
+MAX_QUEUE_SHARE = 0.5  # of the wait, for most of it to count as a delay
 REFUTING_RISE = 0.25  # of the wait that was taken for a delay
 TRIAL_NS = 5 * SECOND  # in which a rise of the latency refutes a conclusion
 FIRST_PAUSE_NS = 10 * SECOND  # after a refuted conclusion; doubled by each further one
@@ -113,20 +113,20 @@
                     period.add(latency)
                 return
 
-    def find_delay(self, now: int, known_delay: float) -> float | None:
-        """Return the delay where latencies show that most of what is beyond `known_delay` is no queue."""
+    def find_delay(self, now: int, baseline_delay: float) -> float | None:
+        """Return the delay where latencies show that most of what is beyond `baseline_delay` is no queue."""
         if now < self._paused_until:
             return None
-        settled = [period for period in self._periods if period.start + PERIOD_NS + known_delay <= now]
+        settled = [period for period in self._periods if period.start + PERIOD_NS + baseline_delay <= now]
         line = fit_line(settled) if len(settled) >= MIN_PERIODS else None
-        if line is None or line.mean_latency <= known_delay:
+        if line is None or line.mean_latency <= baseline_delay:
             return None
-        queue_slope = (line.mean_latency - known_delay) / line.mean_in_flight
+        queue_slope = (line.mean_latency - baseline_delay) / line.mean_in_flight
         if line.slope + SIGNIFICANT_ERRORS * line.slope_error >= MAX_QUEUE_SHARE * queue_slope:
             return None
         self._periods.clear()
-        self._trial = Conclusion(now, known_delay, line.mean_latency)
-        return max(known_delay, line.latency_of_none)
+        self._trial = Conclusion(now, baseline_delay, line.mean_latency)
+        return max(baseline_delay, line.latency_of_none)
 
     def refuted_delay(self, now: int, latency: float) -> float | None:
         """Return the delay known before the last conclusion where the latency has refuted that."""
--- a/qos_gateway/decisions/snapshot.py
+++ b/qos_gateway/decisions/snapshot.py
@@ -145,5 +145,5 @@
 
 
 def _moved(time: int, shift: int) -> int:
-    """Return a time moved by `shift`; times that are not positive stand for never."""
+    """Return a time moved by `shift`; times that are not positive mean never."""
     return time + shift if time > 0 else time
--- a/tests/decisions/test_delay_detection.py
+++ b/tests/decisions/test_delay_detection.py
@@ -26,7 +26,7 @@
 MIN_SERVED_AT_600_MS = 0.66 / (2 / 3)  # two in three clients wait long enough
 MIN_SERVED_AT_250_MS = 0.95
 SAMPLING_ERROR = 0.02  # of a share over 20 s and two seeds
-KNOWN_DELAY = 50 * MS
+BASELINE_DELAY = 50 * MS
 FIRST_SEND = 100 * SECOND
 
 
@@ -77,32 +77,32 @@
 
 def test_latency_that_does_not_fall_with_the_number_in_flight_is_a_delay() -> None:
     detection, now = congested_detection(dict.fromkeys((10, 8, 6, 4), 600 * MS))
-    assert detection.find_delay(now, KNOWN_DELAY) == pytest.approx(600 * MS)
+    assert detection.find_delay(now, BASELINE_DELAY) == pytest.approx(600 * MS)
 
 
 def test_latency_that_falls_with_the_number_in_flight_is_a_queue() -> None:
     detection, now = congested_detection({n: n * 60 * MS for n in (10, 8, 6, 4)})
-    assert detection.find_delay(now, KNOWN_DELAY) is None
+    assert detection.find_delay(now, BASELINE_DELAY) is None
 
 
 def test_nothing_is_concluded_from_one_number_in_flight_or_few_periods() -> None:
     detection, now = congested_detection({10: 600 * MS})
-    assert detection.find_delay(now, KNOWN_DELAY) is None
+    assert detection.find_delay(now, BASELINE_DELAY) is None
     numbers = range(10, 10 - MIN_PERIODS + 1, -1)
     detection, now = congested_detection(dict.fromkeys(numbers, 600 * MS))
-    assert detection.find_delay(now, KNOWN_DELAY) is None
+    assert detection.find_delay(now, BASELINE_DELAY) is None
 
 
 def test_conclusion_is_taken_back_where_the_latency_rises_after_it() -> None:
     detection, now = congested_detection(dict.fromkeys((10, 8, 6, 4), 600 * MS))
-    detection.find_delay(now, KNOWN_DELAY)
+    detection.find_delay(now, BASELINE_DELAY)
     assert detection.refuted_delay(now + SECOND, 620 * MS) is None
-    assert detection.refuted_delay(now + SECOND, 800 * MS) == KNOWN_DELAY
-    assert detection.find_delay(now + SECOND + FIRST_PAUSE_NS // 2, KNOWN_DELAY) is None
+    assert detection.refuted_delay(now + SECOND, 800 * MS) == BASELINE_DELAY
+    assert detection.find_delay(now + SECOND + FIRST_PAUSE_NS // 2, BASELINE_DELAY) is None
 
 
 def test_conclusion_that_held_for_a_while_is_kept() -> None:
     detection, now = congested_detection(dict.fromkeys((10, 8, 6, 4), 600 * MS))
-    detection.find_delay(now, KNOWN_DELAY)
+    detection.find_delay(now, BASELINE_DELAY)
     assert detection.refuted_delay(now + TRIAL_NS + 1, 600 * MS) is None
     assert detection.refuted_delay(now + TRIAL_NS + 2, 2 * SECOND) is None
--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -9,7 +9,8 @@
 from qos_gateway.decisions.load_balancing.endpoint_state import EndpointState
 from qos_gateway.decisions.load_balancing.load_balancer import LoadBalancer
 from tests.support.builders import SECOND
-from tests.support.slow_start_simulation import SLOW_START_NS, FleetSize, Scenario, Simulation
+from tests.support.slow_start_scenario import SLOW_START_NS, FleetSize, Scenario
+from tests.support.slow_start_simulation import Simulation
 
 FLEETS = [
     FleetSize(gateways=6, warm=8, starting=4, capacity_per_s=30.0),
--- a/tests/decisions/test_slow_start_of_all.py
+++ b/tests/decisions/test_slow_start_of_all.py
@@ -8,7 +8,8 @@
 
 from qos_gateway.decisions.load_balancing.slow_start import REMEMBERED_SHARE, SlowStart
 from tests.support.builders import SECOND, settings
-from tests.support.slow_start_simulation import LEAD_NS, START_NS, FleetSize, Scenario, Simulation
+from tests.support.slow_start_scenario import LEAD_NS, START_NS, FleetSize, Scenario
+from tests.support.slow_start_simulation import Simulation
 
 ENDPOINTS = 6
 MANY_REQUESTS_MAX_GATEWAYS = 40  # beyond it, a gateway gets only two requests a second
