--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import sys
 from pathlib import Path
 
 from standins.client import Client, Request
@@ -32,33 +31,21 @@
     call.note("answered")
 
 
-async def start_bad_peer(world: World) -> asyncio.subprocess.Process:
-    """Start the bad peer in a process of its own."""
+async def start_bad_peer(world: World) -> None:
+    """Start the bad peer."""
     host, port = world.gateway.address.split(":")
     script = Path(__file__).resolve().parents[1] / "standins" / "bad_peer.py"
     world.record.add("bad peer", f"connects, to send {BAD_PEER_BYTES} bytes")
-    return await asyncio.create_subprocess_exec(
-        sys.executable, script, host, port, str(BAD_PEER_BYTES), stdout=asyncio.subprocess.PIPE
-    )
-
-
-async def end_bad_peer(world: World, process: asyncio.subprocess.Process) -> None:
-    """End the bad peer, and record what it printed."""
-    if process.returncode is None:
-        process.kill()
-    output, _ = await process.communicate()
-    for line in output.decode().splitlines():
-        world.record.add("bad peer", line)
+    await world.start_peer(script, host, port, str(BAD_PEER_BYTES))
 
 
 async def send_requests(world: World, clients: list[Client]) -> list[Request]:
     """Send requests at a steady rate, and return them; the bad peer comes after some of them."""
     rng = random.Random(1)
     requests: list[Request] = []
-    peer = None
     for number in range(1, REQUESTS + 1):
         if number == TROUBLE_AFTER and world.has_trouble:
-            peer = await start_bad_peer(world)
+            await start_bad_peer(world)
         (class_name,) = rng.choices(tuple(WAITS_MS), SHARES)
         wait_ms = rng.randint(*WAITS_MS[class_name])
         request = Request(f"{number:016x}", 1000 + number, class_name, "trade", wait_ms)
@@ -66,8 +53,6 @@
         clients[number % CLIENTS].send(request)
         await asyncio.sleep(INTERVAL_S)
     await asyncio.sleep(max(limit_s(request) for request in requests) + 0.5)
-    if peer is not None:
-        await end_bad_peer(world, peer)
     return requests
 
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,12 @@
 #!/bin/bash
-# Plays case 3; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+# Plays case 3. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# With TROUBLE=0 it plays without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x .venv/bin/python || exit 2
-PYTHONPATH=review PYTHONDONTWRITEBYTECODE=1 timeout --kill-after=5 110 .venv/bin/python review/3/case.py
+export PYTHONPATH=review PYTHONDONTWRITEBYTECODE=1
+timeout --kill-after=5 110 .venv/bin/python review/3/case.py &
+player=$!
+trap 'kill "$player"' TERM INT
+wait "$player"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standins/order_server.py
+++ b/review/standins/order_server.py
@@ -5,7 +5,8 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import hiredis
 
@@ -58,7 +59,7 @@
         self.connection.reset()
 
 
-Script = Callable[[Call], Awaitable[None]]
+Script = Callable[[Call], Coroutine[Any, Any, None]]
 
 
 class ServerConnection:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable, Sequence
@@ -30,8 +31,15 @@
         self.record = Record()
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.servers: list[OrderServer] = []
-        self.gateway: Gateway
+        self._gateway: Gateway | None = None
         self._clients: list[Client] = []
+        self._peers: list[asyncio.subprocess.Process] = []
+
+    @property
+    def gateway(self) -> Gateway:
+        """Return the gateway, once it was started."""
+        assert self._gateway is not None
+        return self._gateway
 
     async def start(self, scripts: Sequence[Script], limits: dict[str, Any] | None = None) -> None:
         """Start an order server for each script, discovery, the counter, and the gateway."""
@@ -51,8 +59,8 @@
             "known": discovery.whole_list(),
             "settings": settings(),
         }
-        self.gateway = Gateway(self.record, configuration)
-        await self.gateway.start()
+        self._gateway = Gateway(self.record, configuration)
+        await self._gateway.start()
 
     async def client(self, name: str) -> Client:
         """Return a new client that is connected to the gateway."""
@@ -61,11 +69,27 @@
         self._clients.append(client)
         return client
 
+    async def start_peer(self, script: Path, *arguments: str) -> None:
+        """Start a peer of the gateway that has a process of its own."""
+        peer = await asyncio.create_subprocess_exec(
+            sys.executable, script, *arguments, stdout=asyncio.subprocess.PIPE
+        )
+        self._peers.append(peer)
+
     async def end(self) -> None:
-        """Close the clients, and end the gateway."""
+        """Close the clients, end all processes, and record what they printed."""
         for client in self._clients:
             client.close()
-        await self.gateway.end()
+        for peer in self._peers:
+            if peer.returncode is None:
+                peer.kill()
+            output, _ = await peer.communicate()
+            for line in output.decode().splitlines():
+                self.record.add("peer's output", line)
+        if self._gateway is not None:
+            for line in self._gateway.log_lines():
+                self.record.add("gateway's log", line)
+            await self._gateway.end()
 
 
 def run_case(case: Callable[[World], Awaitable[list[str]]], file: str) -> None:
@@ -73,16 +97,17 @@
     world = World()
 
     async def play() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await case(world)
         finally:
-            for line in world.gateway.log_lines():
-                world.record.add("gateway's log", line)
             await world.end()
 
     try:
         broken = asyncio.run(play())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         world.record.add("case", "could not run: " + traceback.format_exc())
         status = NOT_RUN
     else:
