--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 REQUESTS = 150
 INTERVAL_S = 0.08
 TROUBLE_AFTER = 25  # requests
-BAD_PEER_BYTES = 30_000_000
+BAD_PEER_BYTES = 50_000_000
 WORK_S = (0.05, 0.2)
 # A try is given up after half to all of the class's time.
 WAITS_MS = {"stock-check": (3000, 6000), "order-place": (1500, 3000), "invoice-pay": (2000, 4000)}
