Clients' commands share each turn of the event loop instead of running all at once

Cause: nothing bounded the commands of one turn of the event loop. uvloop reads a ready socket up to 32 times of 256 kB, and all commands of a read were executed at once, as one that is answered at once never counts against the limit of 32 without a reply. The loops over deferred commands and over rejected ones had the same fault.

Change: InputScheduler gives clients slices of 1 ms in turn, 5 ms a turn of the event loop in all; the remainder is deferred, whatever the command. The three loops are one. Input that only waits for its turn is not rejected; its reading pauses beyond a part of the memory limit. A read is of 32 KiB, which bounds what each of many such peers holds beyond it.

In test_pipelining one test sent its last command in the moment in which the commands before it used to have been rejected; it waits for these rejections now. Its limits and counts are as before.

--- a/qos_gateway/server/clients/buffer_budgets.py
+++ b/qos_gateway/server/clients/buffer_budgets.py
@@ -10,6 +10,10 @@
 BUFFER_MEMORY_FRACTION = 0.125
 # One connection may use this fraction of the limit on deferred input.
 CONNECTION_DEFERRED_FRACTION = 0.25
+# Input that only waits for its turn to be executed may use these fractions of the limit. The remainder is
+# left to commands that have to wait for replies, which are rejected beyond the limit.
+READ_AHEAD_FRACTION = 0.5
+CONNECTION_READ_AHEAD_FRACTION = 0.0625
 
 
 class BufferBudget:
@@ -47,6 +51,12 @@
         connection_limit_bytes = self.limit_bytes * CONNECTION_DEFERRED_FRACTION
         return self.deferred_bytes > self.limit_bytes or connection_bytes > connection_limit_bytes
 
+    def is_read_ahead_over_limit(self, connection_bytes: int) -> bool:
+        """Return whether deferred input exceeds its limit for input that only waits for its turn."""
+        connection_limit_bytes = self.limit_bytes * CONNECTION_READ_AHEAD_FRACTION
+        limit_bytes = self.limit_bytes * READ_AHEAD_FRACTION
+        return self.deferred_bytes > limit_bytes or connection_bytes > connection_limit_bytes
+
     def reserve_buffered(self, size_bytes: int) -> bool:
         """Count bytes of a large value as buffered; return False, uncounted, if that exceeds the limit."""
         if self.buffered_bytes + size_bytes > self.limit_bytes:
--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -61,7 +61,7 @@
         self, observer: ConnectionObserver, context: ConnectionContext, queued_since_s: float | None = None
     ) -> None:
         """`queued_since_s` is the earliest time at which the client can have connected, if accepted late."""
-        super().__init__()
+        super().__init__(context.read_buffer)
         self._queued_since_s = queued_since_s
         self._observer = observer
         self._context = context
@@ -105,6 +105,7 @@
             close_guard.check(self._close_reason, self._replies.unanswered(), False)
         close_guard.connection_ended(self._close_reason)
         self._observer.connection_closed(self)
+        self._context.scheduler.discard(self)
         self.input.deferred.clear()
         for request_number in self._replies.discard():
             self._context.requests.client_disconnected(request_number)
@@ -168,9 +169,15 @@
         """Return whether received bytes wait in the socket."""
         return self.unread_bytes() != 0
 
-    def _resume_input(self) -> None:
+    def resume_input(self) -> None:
+        """Execute deferred commands, and resume reading."""
         self.input.resume(self)
 
+    def _schedule_input(self) -> None:
+        """Have the input resumed, unless its commands are being executed, after which it goes on anyway."""
+        if not self.input.is_parsing:
+            self._context.scheduler.add(self, has_used_slice=False)
+
     # Replies.
 
     def reply(self, pending_reply: PendingReply, reply: bytes) -> None:
@@ -183,13 +190,13 @@
         if pending:
             self.start_next_stream()
             if self.input.has_unprocessed_input(self) and len(pending) < MAX_PIPELINED:
-                self._context.call_soon(self._resume_input)
+                self._schedule_input()
             return
         self.idle_since_s = self._context.time()
         if self.input.is_closed:
             self.half_close(self.idle_since_s)
         elif self.input.has_unprocessed_input(self):
-            self._context.call_soon(self._resume_input)
+            self._schedule_input()
         elif self._context.drain.closes_idle and self.is_idle():
             # The periodic check of the drain would rarely find a busy client idle.
             self.close(CloseReason.DRAINED)
@@ -235,7 +242,7 @@
         self._write_progress.unblock()
         self._replies.release_written()
         self._replies.set_stream_paused(False)
-        self.input.resume(self)
+        self._schedule_input()
 
     # Closing.
 
--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -16,6 +15,7 @@
 from .deferred_input import DeferredInput, InputChunk
 from .hangup_monitor import HangupMonitor
 from .input_backlog import FULL_BUFFER_THRESHOLD_BYTES, InputBacklog
+from .input_scheduler import SLICE_TIME_S, InputScheduler, ScheduledConnection
 from .loop_stalls import LoopStallDetector
 from .pending_replies import PendingReply, ReplyConnection, ReplyQueue
 from .receive_times import ReceiveTimes, estimate_receive_times
@@ -34,7 +34,8 @@
 
     time: Callable[[], float]  # returns the event loop's time in seconds
     stall_detector: LoopStallDetector
-    call_soon: Callable[[Callable[[], None]], asyncio.Handle]
+    read_buffer: memoryview  # holds the bytes of one read until they are copied
+    scheduler: InputScheduler
     requests: RequestHandler
     commands: CommandExecutor
     buffers: BufferBudget
@@ -44,7 +45,7 @@
     drain: DrainState
 
 
-class InputConnection(ReplyConnection, Protocol):
+class InputConnection(ReplyConnection, ScheduledConnection, Protocol):
     """The operations of a connection that its input uses."""
 
     def is_idle(self) -> bool:
@@ -80,10 +81,12 @@
     """Executes a client's commands as they are read, up to a limit on commands without a reply.
 
     Commands beyond the limit are read and deferred, so that their receive times are known; the oldest are
-    rejected when they use too much memory. Reading is paused only while the client does not accept its
-    replies, while a large value is streamed, or while `MAX_PENDING_REPLIES` replies are pending. The
-    connection is passed to each method: a reference to it would form a cycle, and closed connections would
-    stay in memory until the garbage collector runs.
+    rejected when they use too much memory. Commands that take longer than a slice of the scheduler are
+    deferred as well, and executed in the connection's next slices. Reading is paused only while the client
+    does not accept its replies, while a large value is streamed, while `MAX_PENDING_REPLIES` replies are
+    pending, or while much deferred input waits for the next slice. The connection is passed to each method: a
+    reference to it would form a cycle, and closed connections would stay in memory until the garbage
+    collector runs.
     """
 
     __slots__ = (
@@ -124,12 +127,19 @@
                 self.update_reading(connection)
             return
         chunk = InputChunk(data, self._receive_times(connection, len(data)))
-        if self.deferred:
-            self.deferred.append(chunk)
+        scheduler = self._context.scheduler
+        has_used_slice = True
+        if not self.deferred and scheduler.has_time():
+            started_at_s = self._context.time()
+            self._execute_commands(connection, chunk, started_at_s + SLICE_TIME_S)
+            scheduler.record(self._context.time() - started_at_s)
         else:
-            self._execute_commands(connection, chunk)
+            self.deferred.append(chunk)
+            has_used_slice = scheduler.has_time() and self._must_shed(connection)
+            if has_used_slice:
+                self._run_slice(connection)
         if self.deferred:
-            self._reject_excess(connection)
+            self._schedule(connection, has_used_slice)
             self.update_reading(connection)
 
     def _receive_times(self, connection: InputConnection, size: int) -> ReceiveTimes:
@@ -166,15 +176,32 @@
             self._backlog.resume(now_s, size)
         return times
 
-    def _execute_commands(self, connection: InputConnection, chunk: InputChunk) -> None:
-        """Execute the commands in a chunk up to the limit, and defer the remainder."""
+    def _run_slice(self, connection: InputConnection) -> None:
+        """Execute or reject deferred commands until the slice ends or the remaining ones have to wait."""
+        context = self._context
+        started_at_s = context.time()
+        ends_at_s = started_at_s + SLICE_TIME_S
+        while self._is_runnable(connection) and context.time() < ends_at_s:
+            sheds = self._must_shed(connection)
+            self._execute_commands(connection, self.deferred.pop_first(), ends_at_s, sheds)
+        context.scheduler.record(context.time() - started_at_s)
+
+    def _execute_commands(
+        self, connection: InputConnection, chunk: InputChunk, ends_at_s: float, sheds: bool = False
+    ) -> None:
+        """Execute the commands in a chunk up to the limit until the slice ends, and defer the remainder.
+
+        With `sheds`, commands beyond the limit are rejected, as each command that was read must get a reply.
+        """
         context = self._context
         data = chunk.data
         position = chunk.position
+        now_s = context.time()
         self.is_parsing = True
         try:
             while position < len(data) and not self.is_closed:
-                if not self._may_execute(connection):
+                may_execute = self._may_execute(connection)
+                if now_s >= ends_at_s or not (may_execute or sheds):
                     chunk.position = position
                     self.deferred.prepend(chunk)
                     break
@@ -186,8 +213,12 @@
                 self._replies.pending.append(pending_reply)
                 self.has_sent_command = True
                 connection.command_received()
-                waited_s = context.time() - chunk.received_at_s(position)
-                context.commands.execute(pending_reply, arguments, waited_s)
+                if may_execute:
+                    waited_s = now_s - chunk.received_at_s(position)
+                    context.commands.execute(pending_reply, arguments, waited_s)
+                else:
+                    context.commands.shed(pending_reply, arguments)
+                now_s = context.time()
         except CommandSyntaxError as error:
             self.deferred.clear()  # the start of the next command is unknown
             connection.fail(str(error))
@@ -197,50 +228,49 @@
             connection.close(CloseReason.DRAINED)
 
     def _may_execute(self, connection: InputConnection) -> bool:
-        """Return whether the next command may be executed now."""
-        return len(self._replies.pending) < MAX_PIPELINED and self._may_read(connection)
-
-    def _may_read(self, connection: InputConnection) -> bool:
-        """Return whether more commands may be read.
+        """Return whether the next command may be executed now.
 
         Not while a large value is streamed: the connection closes if the value fails, and the commands after
         it would get no reply.
         """
+        has_capacity = len(self._replies.pending) < MAX_PIPELINED
+        return has_capacity and not (connection.blocked or self._replies.is_streaming_value())
+
+    def _must_shed(self, connection: InputConnection) -> bool:
+        """Return whether the oldest deferred command has to be rejected."""
+        return self.deferred.is_over_limit() and not self._may_execute(connection)
+
+    def _is_runnable(self, connection: InputConnection) -> bool:
+        """Return whether a deferred command may be executed, or has to be rejected."""
+        if not self.deferred or self.is_closed:
+            return False
+        return self._may_execute(connection) or self.deferred.is_over_limit()
+
+    def _may_read(self, connection: InputConnection) -> bool:
+        """Return whether more commands may be read."""
         is_full = len(self._replies.pending) >= MAX_PENDING_REPLIES
-        return not (is_full or connection.blocked or self._replies.is_streaming_value())
-
-    def _reject_excess(self, connection: InputConnection) -> None:
-        """Reject the oldest deferred commands while deferred input exceeds its limit."""
-        while self.deferred.is_over_limit():
-            chunk = self.deferred.pop_first()
-            try:
-                self._reject_commands(connection, chunk)
-            except CommandSyntaxError as error:
-                self.deferred.clear()
-                connection.fail(str(error))
-
-    def _reject_commands(self, connection: InputConnection, chunk: InputChunk) -> None:
-        """Reject the commands in a chunk, as each command that was read must get a reply."""
-        position = chunk.position
-        while (arguments := self.reader.next_command(chunk.data, position)) is not None:
-            position = self.reader.command_end
-            pending_reply = PendingReply(connection)
-            self._replies.pending.append(pending_reply)
-            self._context.commands.shed(pending_reply, arguments)
+        if is_full or connection.blocked or self._replies.is_streaming_value():
+            return False
+        return not (self._is_runnable(connection) and self.deferred.is_read_ahead_over_limit())
 
     def has_unprocessed_input(self, connection: InputConnection) -> bool:
         """Return whether input is deferred, or may be unread because reading is paused."""
         return bool(self.deferred) or not connection.is_reading
 
     def resume(self, connection: InputConnection) -> None:
-        """Execute deferred commands up to the limit, and resume reading."""
+        """Execute deferred commands for one slice, and resume reading."""
         if self.deferred and not connection.is_closing():
-            while self.deferred and not self.is_closed and self._may_execute(connection):
-                self._execute_commands(connection, self.deferred.pop_first())
+            self._run_slice(connection)
             if not self.deferred:
                 self.reader.restart_timeout()
+            self._schedule(connection, has_used_slice=True)
         self.update_reading(connection)
 
+    def _schedule(self, connection: InputConnection, has_used_slice: bool) -> None:
+        """Have deferred commands executed or rejected in the next slice, unless they wait for replies."""
+        if self._is_runnable(connection):
+            self._context.scheduler.add(connection, has_used_slice)
+
     def close(self) -> None:
         """Stop executing commands, and discard further input."""
         self.is_closed = True
--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -19,9 +19,11 @@
 from .connection import ClientConnection
 from .connection_input import ConnectionContext
 from .hangup_monitor import HangupMonitor
+from .input_scheduler import InputScheduler
 from .listener import Listener, bound_socket, inherited_socket
 from .loop_stalls import LoopStallDetector
 from .request_parser import RequestParser
+from .socket_protocol import READ_BUFFER_BYTES
 from .timeouts import TimeoutChecker
 
 NEAR_LIMIT_FRACTION = 0.75  # above this fraction of the limit, idle connections are closed sooner
@@ -205,7 +207,8 @@
     return ConnectionContext(
         time=time.monotonic,
         stall_detector=LoopStallDetector(),
-        call_soon=loop.call_soon,
+        read_buffer=memoryview(bytearray(READ_BUFFER_BYTES)),
+        scheduler=InputScheduler(loop.call_soon),
         requests=requests,
         commands=CommandExecutor(RequestParser(config), requests),
         buffers=buffers,
--- a/qos_gateway/server/clients/deferred_input.py
+++ b/qos_gateway/server/clients/deferred_input.py
@@ -68,6 +68,10 @@
         """Return whether the chunks of this connection, or of all connections, exceed their memory limit."""
         return bool(self._chunks) and self._buffers.is_deferred_over_limit(self._size_bytes)
 
+    def is_read_ahead_over_limit(self) -> bool:
+        """Return whether these chunks, or all, exceed their limit for input that could be executed now."""
+        return self._buffers.is_read_ahead_over_limit(self._size_bytes)
+
     def _add_size(self, added_bytes: int) -> None:
         self._size_bytes += added_bytes
         self._buffers.add_deferred(added_bytes)
--- a/qos_gateway/server/clients/listener.py
+++ b/qos_gateway/server/clients/listener.py
@@ -58,7 +58,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        protocol_factory: Callable[[float | None], asyncio.Protocol],
+        protocol_factory: Callable[[float | None], asyncio.BaseProtocol],
         has_capacity: Callable[[], bool],
         stall_detector: LoopStallDetector,
     ) -> None:
--- a/qos_gateway/server/clients/loop_stalls.py
+++ b/qos_gateway/server/clients/loop_stalls.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 
+from ..observability.logs import RateLimitFilter
+
+log = logging.getLogger(__name__)
+log.addFilter(RateLimitFilter())
+
 CHECK_INTERVAL_S = 0.1
 MIN_STALL_S = 0.05  # delay of a check that counts as a stall
 # Bytes from the time of a stall may still be read for this long after the delayed check.
 STALL_RECOVERY_S = 0.05
+MIN_LOGGED_STALL_S = 0.25
 
 
 class LoopStallDetector:
@@ -47,5 +54,11 @@
         if now_s - self._checked_at_s >= CHECK_INTERVAL_S + MIN_STALL_S:
             self._stalled_from_s = self._checked_at_s
             self._stall_detected_at_s = now_s
+            _log_stall(now_s - self._checked_at_s - CHECK_INTERVAL_S)
         self._checked_at_s = now_s
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
+
+
+def _log_stall(stall_s: float) -> None:
+    if stall_s >= MIN_LOGGED_STALL_S:
+        log.warning("event_loop_stalled stall_s=%.2f", stall_s)
--- a/qos_gateway/server/clients/socket_protocol.py
+++ b/qos_gateway/server/clients/socket_protocol.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass
 from typing import cast
 
+# Bounds the memory and the commands of one read. uvloop's own buffer holds 256 kB, for each connection that
+# waits to have its commands executed.
+READ_BUFFER_BYTES = 32 << 10
 HALF_CLOSE_TIMEOUT_S = 0.75  # input is read and discarded for this time after the last reply
 _IOCTL_INT_FORMAT = "i"  # result of the ioctl requests below, as a `struct` format
 # `struct tcp_info` in linux/tcp.h: 8 bytes, then 32-bit fields; these two are in ms.
@@ -110,19 +113,22 @@
         return now_s - self.blocked_since_s >= timeout_s
 
 
-class ClientSocketProtocol(asyncio.Protocol):
+class ClientSocketProtocol(asyncio.BufferedProtocol):
     """The transport level of a connection: flow control, write stalls, hangups and half-closing."""
 
     __slots__ = (
         "_final_write_progress",
         "_hangup_poll",
         "_is_reading",
+        "_read_buffer",
         "_transport",
         "_write_progress",
         "half_close_ends_at_s",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, read_buffer: memoryview) -> None:
+        """`read_buffer` may be shared: its content is copied after each read."""
+        self._read_buffer = read_buffer
         self._transport: asyncio.Transport  # set by `connection_made`
         self._hangup_poll: select.poll | None = None
         self._is_reading = True
@@ -134,6 +140,18 @@
         """Keep the connection's transport."""
         self._transport = cast(asyncio.Transport, transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - signature of asyncio.BufferedProtocol
+        """Return the buffer for the next read."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes of a read."""
+        self.data_received(bytes(self._read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes."""
+        raise NotImplementedError
+
     def is_closing(self) -> bool:
         """Return whether the transport is closed or being closed."""
         return self._transport.is_closing()
--- a/soak/clients/traffic.py
+++ b/soak/clients/traffic.py
@@ -7,7 +7,7 @@
 
 from soak.background_tasks import BackgroundTasks
 from soak.clients.connection import ClientConnection
-from soak.clients.invalid_commands import send_invalid
+from soak.clients.invalid_commands import flood, send_invalid
 from soak.clients.persistent_clients import PersistentClients
 from soak.clients.request_generator import RequestGenerator
 from soak.clients.request_sender import RequestSender
@@ -154,3 +154,9 @@
         process = self._process_for_new_connections(gateway)
         if process is not None:
             self._record.bad_clients.append(await send_invalid(gateway, process, data))
+
+    async def flood(self, gateway: int, duration_s: float) -> None:
+        """Send megabytes of commands that are no requests, for a while."""
+        process = self._process_for_new_connections(gateway)
+        if process is not None:
+            self._record.bad_clients.append(await flood(gateway, process, duration_s))
--- a/soak/fault_injection/clients.py
+++ b/soak/fault_injection/clients.py
@@ -23,6 +23,7 @@
             FaultKind.HALF_COMMAND: lambda gateway, _: traffic.misbehave(gateway, HALF_COMMAND),
             FaultKind.CROWD: traffic.crowd,
             FaultKind.GARBAGE: lambda gateway, _: traffic.misbehave(gateway, GARBAGE),
+            FaultKind.FLOOD: traffic.flood,
         }
 
     @property
--- a/soak/mutants/__init__.py
+++ b/soak/mutants/__init__.py
@@ -34,6 +34,7 @@
         processes.crash,
         processes.stop_at_once,
         processes.wait_for_bad_clients,
+        processes.execute_commands_at_once,
         processes.stop_serving,
         processes.serve_without_a_list,
     )
--- a/soak/mutants/processes.py
+++ b/soak/mutants/processes.py
@@ -6,18 +6,21 @@
 import os
 
 from qos_gateway.server import gateway as gateway_module
+from qos_gateway.server.clients import connection_input, connections
 from qos_gateway.server.clients import timeouts as client_timeouts
+from qos_gateway.server.clients.input_scheduler import InputScheduler
 from qos_gateway.server.endpoints.attempt import Attempt
 from qos_gateway.server.endpoints.connection_pool import ConnectionPool
 from qos_gateway.server.gateway import GatewayProcess
 from qos_gateway.server.start_guard import check_start
 from qos_gateway.types import Outcome
-from soak.mutants.patching import patch
+from soak.mutants.patching import always_true, patch
 
 CRASH_AFTER_S = 3.0
 FAIL_AFTER_S = 3.0
 CRASH_STATUS = 3
 UNREACHED_TIMEOUT_S = 3600.0
+UNBOUNDED_READ_BYTES = 256 << 10  # as much as the event loop reads at once without a buffer of its own
 
 
 def crash() -> None:
@@ -45,6 +48,13 @@
     patch(client_timeouts, "COMMAND_TIMEOUT_S", UNREACHED_TIMEOUT_S)
 
 
+def execute_commands_at_once() -> None:
+    """Execute all commands of a client that were read in one turn of the event loop."""
+    patch(connection_input, "SLICE_TIME_S", UNREACHED_TIMEOUT_S)
+    patch(InputScheduler, "has_time", always_true)
+    patch(connections, "READ_BUFFER_BYTES", UNBOUNDED_READ_BYTES)
+
+
 def stop_serving() -> None:
     """Fail every attempt from some seconds after the start."""
     start_attempt = ConnectionPool.start
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -56,6 +56,7 @@
     HALF_COMMAND = "half_command"
     CROWD = "crowd"  # idle clients open all connections that the gateway allows
     GARBAGE = "garbage"
+    FLOOD = "flood"  # sends megabytes of commands that are no requests
     # The counter.
     COUNTER_DOWN = "counter_down"
     COUNTER_SLOW = "counter_slow"
@@ -85,6 +86,7 @@
         FaultKind.HALF_COMMAND,
         FaultKind.CROWD,
         FaultKind.GARBAGE,
+        FaultKind.FLOOD,
     }
 )
 COUNTER_FAULTS = frozenset(
--- a/tests/server/test_pipelining.py
+++ b/tests/server/test_pipelining.py
@@ -50,6 +50,8 @@
             client = await harness.connect_client()
             client.send(b"".join(call_command(number=n, wait_ms=1000) for n in range(300)))
             await wait_until(lambda: len(harness.open_requests) == MAX_PIPELINED)
+            rejections = harness.gateway.observability.metrics.rejections
+            await wait_until(lambda: rejections[RejectReason.LOAD_LIMIT] == 300 - MAX_PIPELINED)
             client.send(call_command(number=300, wait_ms=2000))  # within the limit again
             replies = [str(await client.next_message()) for _ in range(300)]
             assert set(replies[:MAX_PIPELINED]) == {"ERR out of time"}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -95,6 +95,7 @@
     "forget_maintenance": (Rule.MAINTENANCE, (fault(KIND.MAINTENANCE, 1.0, 4.0),)),
     "crash": (Rule.CRASH, ()),
     "stop_at_once": (Rule.LOST, (*SLOW_EVERYWHERE, fault(KIND.HANG, 1.6, 2.0), fault(KIND.RESTART, 2.0))),
+    "execute_commands_at_once": (Rule.LOST, (fault(KIND.FLOOD, 1.5, 6.0),)),
     "wait_for_bad_clients": (Rule.BAD_CLIENT, (fault(KIND.HALF_COMMAND),)),
     "stop_serving": (Rule.RECOVERY, ()),
     "serve_without_a_list": (Rule.REPORTED_ITSELF, ()),
