A large value with replies behind it is buffered whole or fails, and is never streamed

Symptom: a client asks for five values of 4 MiB and a payment on one connection; the first order server resets in the middle.

Cause: values behind the first one had used the memory for buffered values, piece by piece. They can only be written after it. So the first one was streamed without memory, and when it broke off, the connection could only be closed.

Evidence: the case on logs large_value_aborted and one invariant_violated for each of the five.

Change: memory is reserved for a whole value before it is received. Values that are not the first of their connection leave room for one of the largest size; a first one without room waits in order of arrival. What has no memory by its client's deadline fails, and the connection serves on. The soak has gateways with 32 MB, and a broken gateway that it notices.

--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -10,7 +10,7 @@
 from . import log
 from .commands import error_reply
 from .connection_input import MAX_PIPELINED, ConnectionContext, ConnectionInput
-from .pending_replies import PendingReply, ReplyQueue, StreamedReply
+from .pending_replies import PendingReply, ReplyQueue
 from .socket_protocol import (
     ClientSocketProtocol,
     SocketAges,
@@ -19,6 +19,7 @@
     unacknowledged_bytes,
     unread_bytes,
 )
+from .streamed_reply import StreamedReply
 
 SHUTDOWN_REPLY = b"-BUSY\r\n"  # sent when a command is still incomplete at the end of a drain
 
@@ -188,7 +189,7 @@
             self._replies.release_written()
         pending = self._replies.pending
         if pending:
-            self.start_next_stream()
+            self._start_next_stream()
             if self.input.has_unprocessed_input(self) and len(pending) < MAX_PIPELINED:
                 self._schedule_input()
             return
@@ -203,21 +204,23 @@
 
     def start_stream(self, pending_reply: PendingReply, length: int, flow: FlowControl) -> StreamedReply:
         """Start a streamed reply, a large value of `length` bytes."""
-        stream = self._replies.start_stream(pending_reply, length, flow)
-        self.start_next_stream()
+        stream = self._replies.start_stream(pending_reply, length, flow, self._has_commands_behind())
+        if stream.started:
+            self.input.update_reading(self)
         return stream
 
-    def start_next_stream(self) -> None:
-        """Start writing the first pending reply if it is a large value that is due.
-
-        With commands behind it, that is only when the buffer budget is exhausted.
-        """
+    def _has_commands_behind(self) -> bool:
+        """Return whether commands, or part of one, were received after that of the first pending reply."""
         client_input = self.input
-        has_commands_behind = (
-            len(self._replies.pending) > 1 or client_input.deferred or client_input.reader.has_partial_command
-        )
-        if self._replies.start_first_stream(bool(has_commands_behind)):
-            client_input.update_reading(self)
+        has_pending = len(self._replies.pending) > 1
+        return has_pending or bool(client_input.deferred) or client_input.reader.has_partial_command
+
+    def _start_next_stream(self) -> None:
+        """Start writing the first pending reply if it is a large value that is due."""
+        if self._replies.start_first_stream(self._has_commands_behind()):
+            self.input.update_reading(self)
+            if not self.blocked:
+                self._replies.release_written()
 
     def abort_stream(self, pending_reply: PendingReply, reply: bytes) -> None:
         """End a large value that cannot be completed; send `reply` instead if none of it was written.
--- a/qos_gateway/server/clients/pending_replies.py
+++ b/qos_gateway/server/clients/pending_replies.py
@@ -4,22 +4,17 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from functools import partial
 from typing import Protocol
 
 from ..networking.value_stream import FlowControl
 from ..observability.close_reasons import CloseReason
 from .buffer_budgets import BufferBudget, StreamBudget
+from .streamed_reply import StreamedReply, ValueConnection, ValueState
 
 
-class ReplyConnection(Protocol):
+class ReplyConnection(ValueConnection, Protocol):
     """The operations of a client connection that writing a reply needs."""
 
-    @property
-    def blocked(self) -> bool:
-        """Whether the write buffer is full because the client does not accept its replies."""
-
     def reply(self, pending_reply: PendingReply, reply: bytes, /) -> None:
         """Reply to a command."""
 
@@ -29,12 +24,6 @@
     def abort_stream(self, pending_reply: PendingReply, reply: bytes, /) -> None:
         """Abort an incomplete large value; send `reply` if no part of the value was written."""
 
-    def start_next_stream(self) -> None:
-        """Start to write the first pending reply if it is a large value that is due."""
-
-    def write(self, data: bytes) -> None:
-        """Write part of the first pending reply."""
-
     def has_hung_up(self) -> bool:
         """Return whether the client has closed its sending side, which the loop may not have read yet."""
 
@@ -52,82 +41,10 @@
         self.request_number = request_number  # number of the open request; -1 if there is none
         self.reply: bytes | None = None  # the complete reply, when it is known
         self.stream: StreamedReply | None = None  # a large value that is being received
-        # Bytes of a large value that are counted in the buffer budget and not written.
+        # Bytes that are reserved in the buffer budget for a large value that is not written.
         self.buffered_bytes = 0
 
 
-class StreamedReply:
-    """A large value that is being received from an endpoint.
-
-    It is streamed to the client when it is the first pending reply and no command follows it, because a value
-    that fails after its start closes the connection. Until then it is buffered within the buffer budget.
-    Reading from the endpoint is paused while the budget is exhausted, or while the client does not accept
-    the value.
-    """
-
-    __slots__ = (
-        "_buffered",
-        "_client",
-        "_flow_control",
-        "_header",
-        "_reserve_buffered",
-        "is_out_of_budget",
-        "started",
-    )
-
-    def __init__(
-        self,
-        client: ReplyConnection,
-        length: int,
-        flow_control: FlowControl,
-        reserve_buffered: Callable[[int], bool],
-    ) -> None:
-        """Take `reserve_buffered` to count bytes as buffered; it returns False if that exceeds the limit."""
-        self._client = client
-        self._flow_control = flow_control
-        self._reserve_buffered = reserve_buffered
-        self._header = b"$%d\r\n" % length
-        self._buffered: list[bytes] = []  # parts received before streaming started
-        self.is_out_of_budget = False  # reading from the endpoint is paused until streaming starts
-        self.started = False
-
-    def write(self, data: bytes) -> None:
-        """Write part of the value, or buffer it; pause the endpoint if the budget is exhausted."""
-        if self.started:
-            self._client.write(data)
-            return
-        self._buffered.append(data)
-        if not self._reserve_buffered(len(data)):
-            self.is_out_of_budget = True
-            self._flow_control.pause()
-            self._client.start_next_stream()
-
-    def start(self) -> None:
-        """Write the buffered parts; later parts are written as they are received."""
-        self.started = True
-        buffered = self._buffered
-        self._buffered = []
-        self._client.write(b"".join((self._header, *buffered)))
-        self.set_paused(self._client.blocked)
-
-    def may_outlast_deadline(self) -> bool:
-        """Return whether streaming has started, or the endpoint is paused until it starts."""
-        return self.started or self.is_out_of_budget
-
-    def set_paused(self, paused: bool) -> None:
-        """Pause or resume reading from the endpoint."""
-        if paused:
-            self._flow_control.pause()
-        else:
-            self._flow_control.resume()
-
-    def finish(self) -> bytes:
-        """Return the bytes that remain to be written after the whole value was received."""
-        if self.started:
-            return b"\r\n"
-        return b"".join((self._header, *self._buffered, b"\r\n"))
-
-
 class ReplyQueue:
     """The pending replies of one connection, the oldest first."""
 
@@ -146,7 +63,7 @@
         """Write a reply and the complete ones after it if it is the first; return whether it is."""
         pending_reply.reply = reply
         if pending_reply.stream is not None:
-            self._end_stream(pending_reply)
+            self._end_stream(pending_reply, pending_reply.stream)
         pending = self.pending
         if pending[0] is not pending_reply:
             return False
@@ -163,12 +80,18 @@
 
     # Memory of large values.
 
-    def _reserve_buffered(self, pending_reply: PendingReply, size: int) -> bool:
-        """Count bytes of a large value as buffered; return False if that exceeds the limit."""
-        if not self._buffers.reserve_buffered(size):
-            return False
-        pending_reply.buffered_bytes += size
-        return True
+    def _reserve(self, pending_reply: PendingReply, stream: StreamedReply) -> None:
+        """Reserve memory for a large value that must not be streamed now, or have it wait."""
+        is_first = self.pending[0] is pending_reply
+        if stream.state is ValueState.BUFFERING or stream.state is ValueState.QUEUED:
+            return
+        reserve = self._buffers.reserve_first if is_first else self._buffers.reserve
+        if reserve(stream.length):
+            stream.buffer()
+            return
+        stream.wait(is_first)
+        if is_first:
+            self._buffers.enqueue(stream)
 
     def _mark_written(self, pending_reply: PendingReply) -> None:
         self._written_buffered_bytes += pending_reply.buffered_bytes
@@ -182,44 +105,67 @@
 
     # Streaming of large values.
 
-    def _end_stream(self, pending_reply: PendingReply) -> None:
-        if pending_reply.stream is not None and pending_reply.stream.started:
-            self._streams.end()
+    def _end_stream(self, pending_reply: PendingReply, stream: StreamedReply) -> None:
+        """End a large value of which all bytes were received."""
         pending_reply.stream = None
+        if stream.started:
+            self._streams.end()
+        else:
+            self._buffers.discard(stream)
+            if stream.state is not ValueState.BUFFERING:  # its last bytes came with those that paused it
+                self._buffers.add_buffered(stream.length)
+            pending_reply.buffered_bytes = stream.length
         self._transport.set_write_buffer_limits(high=self._buffers.write_buffer_bytes)
 
     def start_stream(
-        self, pending_reply: PendingReply, length: int, flow_control: FlowControl
+        self, pending_reply: PendingReply, length: int, flow_control: FlowControl, has_commands_behind: bool
     ) -> StreamedReply:
-        """Start a reply that is a large value; it is buffered until streaming starts."""
-        stream = StreamedReply(
-            pending_reply.client, length, flow_control, partial(self._reserve_buffered, pending_reply)
-        )
+        """Start a reply that is a large value of `length` bytes."""
+        stream = StreamedReply(pending_reply.client, length, flow_control)
         pending_reply.stream = stream
+        if not self.start_first_stream(has_commands_behind):
+            self._reserve(pending_reply, stream)
         return stream
 
     def abort_stream(self, pending_reply: PendingReply) -> bool:
         """Abort an incomplete large value; return whether part of it was written."""
         stream = pending_reply.stream
         pending_reply.stream = None
-        self._mark_written(pending_reply)
-        self.release_written()
-        if stream is None or not stream.started:
+        if stream is None:
+            return False
+        self._discard_stream(stream)
+        if not stream.started:
             return False
-        self._streams.end()
         pending_reply.reply = b""  # the client sees the failure as the end of the connection
         return True
 
+    def _discard_stream(self, stream: StreamedReply) -> None:
+        """Release what an incomplete large value uses."""
+        if stream.started:
+            self._streams.end()
+        elif stream.state is ValueState.BUFFERING:
+            self._buffers.release_buffered(stream.length)
+        else:
+            self._buffers.discard(stream)
+
     def start_first_stream(self, has_commands_behind: bool) -> bool:
         """Start to write the first pending reply if it is a large value that is due; return whether it was.
 
-        While commands follow it, a value is due only if the buffer budget is exhausted.
+        While commands follow it, it is not due: it would end their connection if it failed. It is buffered
+        instead, or waits for memory.
         """
         stream = self.first_stream()
-        if stream is None or stream.started or (has_commands_behind and not stream.is_out_of_budget):
+        if stream is None or stream.started:
+            return False
+        if has_commands_behind:
+            self._reserve(self.pending[0], stream)
             return False
         self._transport.set_write_buffer_limits(high=self._streams.start())
-        self._mark_written(self.pending[0])
+        if stream.state is ValueState.BUFFERING:
+            self._written_buffered_bytes += stream.received_bytes
+            self._buffers.release_buffered(stream.length - stream.received_bytes)
+        elif stream.is_waiting:
+            self._buffers.discard(stream)
         stream.start()
         return True
 
@@ -248,8 +194,8 @@
         self.pending = deque()
         unanswered = []
         for pending_reply in pending:
-            if pending_reply.stream is not None and pending_reply.stream.started:
-                self._streams.end()
+            if pending_reply.stream is not None:
+                self._discard_stream(pending_reply.stream)
             pending_reply.stream = None
             self._mark_written(pending_reply)
             if pending_reply.reply is None:
--- a/qos_gateway/server/requests/attempt_results.py
+++ b/qos_gateway/server/requests/attempt_results.py
@@ -6,7 +6,7 @@
 
 from ...edge_names import LoadReportName
 from ...types import AttemptEnded, Outcome, ProbeEnded, ResponseStarted
-from ..clients.pending_replies import StreamedReply
+from ..clients.streamed_reply import StreamedReply
 from ..endpoints.attempt import Attempt, ProbeAttempt
 from ..endpoints.responses import AttemptResult, LoadReport
 from ..networking.value_stream import FlowControl
--- a/qos_gateway/server/requests/request_deadlines.py
+++ b/qos_gateway/server/requests/request_deadlines.py
@@ -77,7 +77,7 @@
         """
         attempt, stream = request.streaming_attempt, request.pending_reply.stream
         now = self.clock()
-        if attempt is None or stream is None or not stream.may_outlast_deadline():
+        if attempt is None or stream is None or not stream.started:
             return False
         if now >= self.latest_deadline:
             return False
--- a/soak/gateways/settings_keys.py
+++ b/soak/gateways/settings_keys.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from soak.settings import LOCALHOST, MACHINE_CLASS, Deployment, PlanTerms, RequestKind
+from soak.settings import LOCALHOST, MACHINE_CLASS, Deployment, Fleet, PlanTerms, RequestKind
 
 SECOND_NS = 1_000_000_000
-MEMORY_MB = 96
 COUNTER_TIMEOUT_NS = 80_000_000
 
 
@@ -39,12 +38,16 @@
         "operator": addresses.admin,
         "discovery": addresses.discovery,
         "seed": seed,
-        "limits": {"cores": 1.0, "sockets": deployment.fleet.descriptors, "memory_mb": MEMORY_MB},
+        "limits": _limits(deployment.fleet),
         "known": cached_list,
         "settings": _nested_settings(deployment, position),
     }
 
 
+def _limits(fleet: Fleet) -> dict[str, Any]:
+    return {"cores": 1.0, "sockets": fleet.descriptors, "memory_mb": fleet.memory_mb}
+
+
 def _nested_settings(deployment: Deployment, position: int) -> dict[str, Any]:
     """Return the settings of one gateway in their nested form."""
     return {
--- a/soak/mutants/__init__.py
+++ b/soak/mutants/__init__.py
@@ -28,6 +28,7 @@
         endpoints.forget_capacity_without_warm_endpoints,
         quota.ignore_ceilings,
         responses.pass_values_on_at_once,
+        responses.stream_values_without_memory,
         responses.wait_for_slow_values,
         endpoints.believe_older_lists,
         endpoints.forget_maintenance,
--- a/soak/mutants/responses.py
+++ b/soak/mutants/responses.py
@@ -5,6 +5,7 @@
 from itertools import count
 from typing import Any
 
+from qos_gateway.server.clients.buffer_budgets import BufferBudget
 from qos_gateway.server.clients.pending_replies import ReplyQueue
 from qos_gateway.server.endpoints.attempt import Attempt
 from qos_gateway.server.endpoints.connection import EndpointConnection
@@ -49,6 +50,20 @@
     patch(ReplyQueue, "start_first_stream", lambda self, _: start(self, False))
 
 
+def stream_values_without_memory() -> None:
+    """Stream a large value before other replies if other values have used the memory to buffer it."""
+    start = ReplyQueue.start_first_stream
+
+    def start_without_memory(self: ReplyQueue, has_commands_behind: bool) -> bool:
+        if start(self, has_commands_behind):
+            return True
+        stream = self.first_stream()
+        return stream is not None and stream.is_waiting and start(self, False)
+
+    patch(ReplyQueue, "start_first_stream", start_without_memory)
+    patch(BufferBudget, "reserve", BufferBudget.reserve_first)
+
+
 def wait_for_slow_values() -> None:
     """Wait without a limit for the rest of a large value after the client's deadline."""
     patch(EndpointConnection, "start_deadline_grace", do_nothing)
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -55,6 +55,7 @@
     gateways: int
     order_servers: int
     descriptors: int = 400
+    memory_mb: int = 96
     peer_messages_per_s: float = 0.0
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -90,6 +90,7 @@
     "forget_capacity_without_warm_endpoints": (Rule.RECOVERY, REPLACE_ALL),
     "ignore_ceilings": (Rule.CEILING, ()),
     "pass_values_on_at_once": (Rule.LOST, (LARGE, *PIPELINES)),
+    "stream_values_without_memory": (Rule.LOST, (*LARGE_EVERYWHERE, *PIPELINES)),
     "wait_for_slow_values": (Rule.LOST, LARGE_EVERYWHERE),
     "believe_older_lists": (Rule.DRAIN, (fault(KIND.DRAIN, 1.0, 4.0), fault(KIND.RELOAD_LAGGING, 2.5))),
     "forget_maintenance": (Rule.MAINTENANCE, (fault(KIND.MAINTENANCE, 1.0, 4.0),)),
@@ -102,6 +103,20 @@
 }
 
 
+LITTLE_MEMORY_MB = 32  # buffers fewer large values than one client sends commands at once
+LITTLE_MEMORY_MUTANTS = {"stream_values_without_memory"}
+
+
+def with_little_memory(run: Options) -> Options:
+    drawn = deployment()
+    return replace(run, deployment=replace(drawn, fleet=replace(drawn.fleet, memory_mb=LITTLE_MEMORY_MB)))
+
+
+def mutant_options(name: str) -> Options:
+    run = options(name, EXPECTED[name][1])
+    return with_little_memory(run) if name in LITTLE_MEMORY_MUTANTS else run
+
+
 def options(name: str | None, faults: tuple[Fault, ...], duration_s: float = DURATION_S) -> Options:
     command = (sys.executable, "-m", "qos_gateway" if name is None else "soak.mutants")
     launch = Launch(command if name is None else (*command, name))
@@ -135,7 +150,7 @@
 
 @pytest.mark.parametrize("names", [NAMES[n::GROUPS] for n in range(GROUPS)], ids=str)
 def test_gateway_broken_on_purpose_is_noticed(names: list[str]) -> None:
-    verdicts = play_all([options(name, EXPECTED[name][1]) for name in names])
+    verdicts = play_all([mutant_options(name) for name in names])
     found = {
         name: {violation.rule for violation in verdict.violations}
         for name, verdict in zip(names, verdicts, strict=True)
@@ -164,6 +179,12 @@
     assert verdict.final_share is not None
 
 
+def test_real_gateway_breaks_no_rule_with_large_values_and_little_memory() -> None:
+    run = with_little_memory(options(None, (*LARGE_EVERYWHERE, *PIPELINES)))
+    (verdict,) = play_all([run])
+    assert [violation.text for violation in verdict.violations] == []
+
+
 def test_real_gateway_breaks_no_rule_with_many_commands_at_once() -> None:
     scenarios = sorted({faults for _, faults in EXPECTED.values() if has_pipelines(faults)}, key=str)
     for verdict in play_all([options(None, faults) for faults in scenarios]):
