Discovery's lists are parsed once, in whatever layout they come

Cause: all lines of an incomplete object were parsed again at each line that ends in a closing bracket. Indented lists of flat entries have three such lines; other layouts that JSON allows have one or more an entry.

Change: brackets outside of strings are counted, and the object is parsed when all are closed.

--- a/qos_gateway/server/discovery/json_objects.py
+++ b/qos_gateway/server/discovery/json_objects.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 from typing import Any
 
 from .errors import EndpointListError
 
-_CLOSING_BRACKETS = (b"}", b"]")
+# A string of JSON holds no line break, so each one begins and ends on the same line.
+_remove_strings = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"').sub
 
 
 class JsonObjectReader:
@@ -21,6 +23,7 @@
         self._on_object = on_object
         self._partial_line = b""
         self._object_lines: list[bytes] = []  # lines of the incomplete object
+        self._open_brackets = 0  # of those lines
 
     def split_lines(self, data: bytes) -> list[bytes]:
         """Append data and return the lines it completes, each to be passed to `read_line`."""
@@ -32,11 +35,13 @@
 
         Raises `ValueError` for invalid JSON, `EndpointListError` for an empty line within an object.
         """
-        if line.strip():
-            self._object_lines.append(line)
-        elif self._object_lines:
-            raise EndpointListError("empty line within a JSON object")
-        if self._may_be_complete(line):
+        if not line.strip():
+            if self._object_lines:
+                raise EndpointListError("empty line within a JSON object")
+            return
+        self._object_lines.append(line)
+        self._open_brackets += _open_brackets(line)
+        if self._open_brackets <= 0:
             self._parse()
 
     def is_between_objects(self) -> bool:
@@ -47,17 +52,18 @@
         """Return the number of bytes buffered for the incomplete line and object."""
         return len(self._partial_line) + sum(map(len, self._object_lines))
 
-    def _may_be_complete(self, line: bytes) -> bool:
-        if len(self._object_lines) > 1:
-            return line.rstrip().endswith(_CLOSING_BRACKETS)
-        return bool(self._object_lines)
-
     def _parse(self) -> None:
-        try:
-            raw = json.loads(b"\n".join(self._object_lines))
-        except json.JSONDecodeError as error:
-            if error.pos < len(error.doc.rstrip()):
-                raise
-            return  # the error is at the end of the text: more lines follow
+        """Parse the lines of a whole object.
+
+        An object is parsed once, when its brackets are closed: a list may have thousands of lines.
+        """
+        text = b"\n".join(self._object_lines)
         self._object_lines.clear()
-        self._on_object(raw)
+        self._open_brackets = 0
+        self._on_object(json.loads(text))
+
+
+def _open_brackets(line: bytes) -> int:
+    """Return how many more brackets a line opens than it closes."""
+    code = _remove_strings(b"", line)
+    return code.count(b"{") + code.count(b"[") - code.count(b"}") - code.count(b"]")
