A response of another attempt no longer mixes with a large value that is streamed

Symptom: with two attempts out, a client gets a small value of the second in the middle of the large value of the first. Found by reading; no play showed it.

Cause: the first complete response answered the request, also while another attempt's value was being written. The engine cancels the others only where the settings allow it, and in the next turn of the event loop.

Evidence: the test's client has the small value's header at byte 89,987 of the large value; both its cases fail before the change.

Change: once a large value is being received, only its attempt decides.

--- a/qos_gateway/server/requests/attempt_results.py
+++ b/qos_gateway/server/requests/attempt_results.py
@@ -92,9 +92,14 @@
     def _answer_with(
         self, request: OpenRequest, attempt: Attempt, outcome: Outcome, value: bytes | None
     ) -> None:
-        """Send the final response of an open request if this result decides it."""
+        """Send the final response of an open request if this result decides it.
+
+        Once a large value is being received, only its attempt decides: part of it may be written already.
+        """
         number = attempt.request
-        if request.streaming_attempt is attempt:
+        if request.streaming_attempt is not None:
+            if request.streaming_attempt is not attempt:
+                return
             if outcome is Outcome.OK:
                 stream = cast(StreamedReply, request.pending_reply.stream)
                 self._requests.answer(number, request, stream.finish(), RequestResult.SERVED)
--- a/tests/server/test_large_values.py
+++ b/tests/server/test_large_values.py
@@ -20,6 +20,7 @@
 from tests.support.event_loop import LOOPBACK, run_on_loop, wait_until, with_timeout
 from tests.support.fake_endpoint import success_reply
 from tests.support.gateway_harness import gateway_harness
+from tests.support.resp_connection import Connection
 from tests.support.scripted_engine import only_endpoint, pass_deadline, script_engine
 from tests.support.values import value
 
@@ -158,3 +159,39 @@
     assert (frames.large_value_bytes, frames.large_value_start) == (70_000, 3)
     with pytest.raises(FrameError):
         ResponseFrames().scan(b"*3\r\n$%d\r\n" % (MAX_VALUE_BYTES + 1), 0)
+
+
+@pytest.mark.parametrize("commands", [1, 2], ids=["streamed", "buffered"])
+def test_small_value_of_another_attempt_does_not_mix_with_the_large_one(commands: int) -> None:
+    """It was written into the middle of the large value, and its client took it for a part of that."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            endpoint = only_endpoint(harness)
+            engine = script_engine(
+                harness,
+                lambda a: [Send(a.request_id, endpoint, 0), Send(a.request_id, endpoint, 0)],
+                lambda a: [Send(a.request_id, endpoint, 0)],
+            )
+            client = await harness.connect_client()
+            client.send(b"".join(call_command(number=n) for n in range(1, commands + 1)))
+            attempts: dict[int, list[Connection]] = {1: [], 2: []}
+            for _ in range(1 + commands):
+                connection, words = await harness.endpoint.next_command()
+                attempts[int(words[2], 16)].append(connection)
+            first, second = attempts[1]
+            reply = success_reply(value(100_000))
+            first.send(reply[:90_000])
+            await wait_until(lambda: bool(engine.events_of(ResponseStarted)))
+            second.send(success_reply(b"small"))
+            await wait_until(lambda: bool(engine.events_of(AttemptEnded)))
+            first.send(reply[90_000:])
+            assert await client.next_message() == value(100_000)
+            for connection in attempts[2]:
+                connection.send(success_reply(b"v"))
+                assert await client.next_message() == b"v"
+            await wait_until(lambda: not harness.open_requests)
+            assert harness.buffers.buffered_bytes == 0
+            assert harness.active_streams == 0
+
+    run_on_loop(test)
