Tests: a silent watch of discovery ends by its idle timeout without real time

Cause: the test set the idle timeout of all calls to 0.05 s of real time, so on a busy machine a call that is answered could end by it as well.

Change: the timeout stays as it is. For a call that the stand-in leaves silent, the test moves the time of the last data back by the timeout, once what was sent is read. Outcomes, counts and bounds of the waits are as before.

--- a/tests/server/test_discovery_deadlines.py
+++ b/tests/server/test_discovery_deadlines.py
@@ -15,8 +15,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from qos_gateway.server.discovery import watch_connection as discovery_watch
-from qos_gateway.server.discovery.client import CONNECT_TIMEOUT_S
+from qos_gateway.server.discovery.client import CONNECT_TIMEOUT_S, DiscoveryClient
 from qos_gateway.server.discovery.endpoint_list import EndpointUpdate
 from qos_gateway.server.discovery.watch_connection import IDLE_TIMEOUT_S
 from qos_gateway.server.discovery.watch_schedule import (
@@ -40,6 +39,7 @@
 LATEST = PROPAGATION_DEADLINE_S - UPDATE_TIME_S  # s: latest start of the next call
 OVERLOADED_RESPONSE = b"HTTP/1.1 %d Busy\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SILENT_OUTCOMES = ("hung", "head", "silence")
 FULL_LIST = json.dumps(endpoint_list(41, endpoint_entry("s-1", 1))).encode() + b"\n"
 
 
@@ -49,6 +49,7 @@
     def __init__(self, outcomes: list[str]) -> None:
         super().__init__()
         self.outcomes, self.finished = outcomes, asyncio.Event()
+        self.silent_calls = asyncio.Queue[str]()  # outcomes of the calls that get no more data
         self.server: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -71,15 +72,28 @@
             writer.write(RESPONSE_HEAD)
         elif outcome in ("list", "break", "silence"):
             writer.write(RESPONSE_HEAD + b"%x\r\n%b\r\n" % (len(FULL_LIST), FULL_LIST))
-        if outcome in ("hung", "head", "silence", "list"):
+        if outcome in SILENT_OUTCOMES:
+            self.silent_calls.put_nowait(outcome)
+        if outcome == "list" or outcome in SILENT_OUTCOMES:
             await self.finished.wait()
         writer.close()
 
 
+async def expire_silent_watches(agent: ScriptedDiscovery, client: DiscoveryClient) -> None:
+    """Have each silent watch reach its idle timeout once its data is read, however long that takes."""
+    while True:
+        outcome = await agent.silent_calls.get()
+        watch = client._connection
+        assert watch is not None
+        while outcome == "silence" and watch.up_to_date_at_s is None:
+            await asyncio.get_running_loop().run_in_executor(None, bool)
+        watch._last_data_at_s -= IDLE_TIMEOUT_S
+        watch._check_idle()
+
+
 def waits_after(outcomes: list[str], monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """Return the delays after calls with these outcomes, until a following call receives a list."""
     waits = record_waits(monkeypatch)
-    monkeypatch.setattr(discovery_watch, "IDLE_TIMEOUT_S", 0.05)
 
     async def test() -> None:
         agent, updates = ScriptedDiscovery([*outcomes]), asyncio.Queue[EndpointUpdate]()
@@ -90,6 +104,7 @@
         await agent.open()
         watch = discovery_client(agent, None, updates.put_nowait)
         watch.start()
+        expiring = asyncio.ensure_future(expire_silent_watches(agent, watch))
         for _ in range(sum(outcome in ("break", "silence") for outcome in outcomes)):
             await with_timeout(updates.get())
         if "refused" in outcomes:
@@ -99,6 +114,7 @@
             await agent.open()
         await with_timeout(updates.get())
         await watch.close()
+        expiring.cancel()
         agent.finished.set()
         if agent.server is not None:
             agent.server.close()
