--- a/tests/support/descriptors.py
+++ b/tests/support/descriptors.py
@@ -1,4 +1,4 @@
-"""A moment in which the process can have no further descriptor."""
+"""The limit on the descriptors of the test process."""
 
 from __future__ import annotations
 
@@ -18,3 +18,9 @@
         yield
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def allow_descriptors(count: int) -> None:
+    """Raise the soft limit to at least `count`, as far as the hard limit allows."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(count, hard)), hard))
