A limit on customers with state, and on the work of a tick for them

Symptom: 74,000 requests of ever new customers took 47 MB in 6 s, none given back before 20 s. Cause: each new customer got an account and a commitment; they are removed by age alone. A tick sampled and evaluated all of them. Change: the table of accounts has a maximum. A new account replaces one that nothing is lost with (its quota is full again, nothing is in flight or to be reported); where there is none, the new customer is rejected, reason customer_limit. A tick samples 2,000 commitments and evaluates 500 at most, and busy customers are found once a round, not at each evaluation. A call to the counter whose account is gone no longer stays in the pending ones.

--- a/qos_gateway/decisions/admission/admission_controller.py
+++ b/qos_gateway/decisions/admission/admission_controller.py
@@ -39,6 +39,10 @@
     def on_arrival(self, now: int, arrival: Arrival) -> list[Action]:
         """Admit, reject or hold a request."""
         account = self.quota.account_for(now, arrival)
+        for customer_id in self.quota.accounts.take_evicted():
+            self.commitments.remove(customer_id)
+        if account is None:
+            return [self.dispatcher.reject(arrival, RejectReason.CUSTOMER_LIMIT)]
         account.record_request(now, arrival.units)
         commitment = self.commitments.by_customer.get(account.customer_id) or self.commitments.add(account)
         priority = self._observe(now, commitment, arrival)
--- a/qos_gateway/decisions/admission/commitment_table.py
+++ b/qos_gateway/decisions/admission/commitment_table.py
@@ -1,6 +1,7 @@
 """Table of QoS commitments, and the evaluation that sets each customer's cap."""
 
 from collections.abc import Sequence
+from heapq import nsmallest
 from math import ceil, inf
 
 from ...units import SECOND
@@ -15,6 +16,9 @@
 PRUNE_INTERVAL_NS = IDLE_TIMEOUT_NS
 MIN_THROUGHPUT_PER_S = 1e-3  # floor of XMIN, too low to limit the response time of others
 MIN_BUSY_IN_FLIGHT = 0.05  # mean in flight from which a commitment constrains others
+# Bounds of the work of one tick. With more active customers, samples and evaluations become rarer.
+MAX_SAMPLES_PER_TICK = 2000
+MAX_EVALUATIONS_PER_TICK = 500
 
 
 class CommitmentTable:
@@ -26,6 +30,9 @@
         self.quota = quota
         self.by_customer: dict[int, Commitment] = {}  # active and idle
         self.active: dict[int, Commitment] = {}  # those with a cap, by customer
+        self._busy: list[Commitment] = []  # active ones that constrain others, by the last samples
+        self._unsampled: list[Commitment] = []  # the active ones that the current round has yet to sample
+        self._sampled_busy: list[Commitment] = []  # those that the current round has found busy
         self._pruned_at = now
 
     def add(self, account: CustomerAccount) -> Commitment:
@@ -37,18 +44,34 @@
         """Suspend idle commitments and evaluate those due, lowest priority first so that it is cut first."""
         self._suspend_idle(now)
         due = [c for c in self.active.values() if now - c.evaluated_at >= EVALUATION_INTERVAL_NS]
+        if len(due) > MAX_EVALUATIONS_PER_TICK:
+            due = nsmallest(MAX_EVALUATIONS_PER_TICK, due, key=lambda c: c.evaluated_at)
         throughputs: dict[int, float] = {}
         for commitment in sorted(due, key=lambda c: (c.priority_weight, c.account.customer_id)):
             self.evaluate(now, commitment, throughputs)
 
     def _suspend_idle(self, now: int) -> None:
         """Sample the requests in flight, and suspend commitments to idle customers."""
-        for commitment in list(self.active.values()):
-            account = commitment.account
-            commitment.mean_in_flight.add(now, account.in_flight)
-            if now - account.last_request_at > IDLE_TIMEOUT_NS and not account.in_flight:
-                commitment.suspend()
-                del self.active[account.customer_id]
+        if not self._unsampled:
+            self._unsampled = list(self.active.values())
+        sampled = self._unsampled[:MAX_SAMPLES_PER_TICK]
+        del self._unsampled[:MAX_SAMPLES_PER_TICK]
+        for commitment in sampled:
+            self._sample(now, commitment)
+        if not self._unsampled:
+            self._busy, self._sampled_busy = self._sampled_busy, []
+
+    def _sample(self, now: int, commitment: Commitment) -> None:
+        """Sample one customer's requests in flight; suspend its commitment if it is idle."""
+        account = commitment.account
+        if self.active.get(account.customer_id) is not commitment:
+            return  # removed since the round began
+        commitment.mean_in_flight.add(now, account.in_flight)
+        if now - account.last_request_at > IDLE_TIMEOUT_NS and not account.in_flight:
+            commitment.suspend()
+            del self.active[account.customer_id]
+        elif commitment.mean_in_flight.value > MIN_BUSY_IN_FLIGHT:
+            self._sampled_busy.append(commitment)
 
     def prune_due(self, now: int) -> None:
         """Periodically remove accounts that the quota no longer needs, and their commitments."""
@@ -56,7 +79,12 @@
             return
         self._pruned_at = now
         for customer_id in self.quota.prune(now):
-            self.by_customer.pop(customer_id, None)
+            self.remove(customer_id)
+
+    def remove(self, customer_id: int) -> None:
+        """Remove the commitment to a customer whose account was removed, if there is one."""
+        self.by_customer.pop(customer_id, None)
+        self.active.pop(customer_id, None)
 
     def evaluate(self, now: int, commitment: Commitment, throughputs: dict[int, float]) -> None:
         """Set the customer's cap: the requested concurrency, or under congestion the seven cases' offer.
@@ -93,8 +121,7 @@
         )
 
     def _busy_others(self, commitment: Commitment) -> list[Commitment]:
-        active = self.active.values()
-        return [c for c in active if c is not commitment and c.mean_in_flight.value > MIN_BUSY_IN_FLIGHT]
+        return [other for other in self._busy if other is not commitment]
 
     def _max_response_time(
         self, now: int, others: Sequence[Commitment], throughputs: dict[int, float]
--- a/qos_gateway/decisions/quota/account/counter_calls.py
+++ b/qos_gateway/decisions/quota/account/counter_calls.py
@@ -31,6 +31,11 @@
     unconfirmed_correction: float = 0.0  # correction without a reply, which may be in the total twice
     unreported_units: float = 0.0  # units spent from the slice and not reported by a call
 
+    @property
+    def has_unsettled_amounts(self) -> bool:
+        """Whether a later call has to report units, a release or a correction."""
+        return bool(self.pending_release or self.unconfirmed_correction or self.unreported_units)
+
     def create_call(self, amount: float, reservation: int, is_correction: bool) -> CounterCall:
         """Return a call that also reports the pending releases and the unreported units, and clear both."""
         call = CounterCall(reservation, amount, is_correction, self.pending_release, self.unreported_units)
--- a/qos_gateway/decisions/quota/account/customer_account.py
+++ b/qos_gateway/decisions/quota/account/customer_account.py
@@ -19,6 +19,7 @@
 RETENTION_NS = 120 * SECOND  # time without requests after which an account is removed
 MIN_RETENTION_NS = 20 * SECOND  # minimum for a customer that spent little, as most do not return
 LOW_SPEND_QUARTER_UNITS = 8  # upper bound for a customer that spent little
+MIN_EVICTION_AGE_NS = SECOND  # time without requests, longer than any reservation is pending
 IN_FLIGHT_REPORT_VALID_NS = SECOND  # age up to which a handover includes `in_flight_elsewhere`
 
 
@@ -71,11 +72,20 @@
 
         The account's buckets are full by then.
         """
+        return self._retention(MIN_RETENTION_NS)
+
+    def _retention(self, minimum: int) -> int:
+        """Return the time (ns) without requests after which nothing is lost with the account."""
         if self.peer_totals.spent_quarter_units > LOW_SPEND_QUARTER_UNITS or self.peer_totals.totals:
             return RETENTION_NS
         bucket_full_s = 2 * self.plan.burst / max(self.plan.rate, 1e-9)
         ceiling_full_s = self.plan.ceiling_burst / max(self.plan.ceiling_rate, 1e-9)
-        return min(RETENTION_NS, max(MIN_RETENTION_NS, int(SECOND * max(bucket_full_s, ceiling_full_s))))
+        return min(RETENTION_NS, max(minimum, int(SECOND * max(bucket_full_s, ceiling_full_s))))
+
+    def is_evictable(self, now: int) -> bool:
+        """Return whether the account can be removed before its retention ends, as nothing is lost with it."""
+        is_unsettled = self.in_flight or self.counter_calls.has_unsettled_amounts or self.lease.fractions
+        return not is_unsettled and now - self.last_request_at > self._retention(MIN_EVICTION_AGE_NS)
 
     def take(self, units: float, may_exceed: bool) -> bool:
         """Take units from the bucket and the ceiling, or from the ceiling alone if `may_exceed`.
--- a/qos_gateway/decisions/quota/counter_quota.py
+++ b/qos_gateway/decisions/quota/counter_quota.py
@@ -138,9 +138,11 @@
     def on_counter_reply(self, now: int, event: CounterReplied) -> QuotaReply:
         """Record the bucket's state from a reply, or account for a failed call."""
         account = self.accounts.get(customer_of(event.key))
-        call = self.counter.pending_calls.pop_oldest(event.key) if account else None
-        if account is None or call is None:
+        call = self.counter.pending_calls.pop_oldest(event.key)
+        if call is None:
             return QuotaReply()
+        if account is None:  # removed since the call
+            return QuotaReply(call.reservation)
         self.counter.adapt_call_rate(event.outcome)
         if event.outcome is Outcome.OK:
             self.refill(now, account)
--- a/qos_gateway/decisions/quota/quota.py
+++ b/qos_gateway/decisions/quota/quota.py
@@ -46,32 +46,34 @@
         self.rng = rng
         self.incarnation = seed & 0xFFFF
         self.age = ProcessAge(now)
-        self.accounts = AccountTable()
+        self.accounts = AccountTable(settings.max_customers)
         self.counter = CounterClient(self.uses_counter)
         self.reservations = ReservationClient(settings.gateway_count, self.age)
         self.plan_grant_ratio = [DecayingMean(LONG_TIME_CONSTANT_NS) for _ in settings.plans]
         self.last_reservation = 0
         self.handover_fraction = 1.0  # the part of the buckets that this process uses during a handover
 
-    def account_for(self, now: int, arrival: Arrival) -> CustomerAccount:
-        """Return the account of a request's customer."""
+    def account_for(self, now: int, arrival: Arrival) -> CustomerAccount | None:
+        """Return the account of a request's customer, None where the table has no room for a new one."""
         return self.account(
             now, arrival.customer_id, arrival.plan_index, arrival.gateway_spread, arrival.first_gateway
         )
 
     def account(
         self, now: int, customer_id: int, plan_index: int, spread: int = 0, first: int = 0
-    ) -> CustomerAccount:
-        """Return the customer's account, and create it if there is none."""
+    ) -> CustomerAccount | None:
+        """Return the customer's account, and create it if there is none and the table has room for it."""
         # `spread` gateways, from position `first` on, serve the customer; 0 if no request of it arrived here.
         account = self.accounts.get(customer_id)
         if account is None:
+            if not self.accounts.ensure_capacity(now):
+                return None
             # Nothing of a new customer's slices was spent, so they have been refilling since the start.
             refilled_at = self.age.started_at if self.uses_counter and spread else now
             plan = self.settings.plans[plan_index]
             account = CustomerAccount.create(customer_id, plan, plan_index, now, refilled_at)
             self._prepare_account(account)
-            self.accounts[customer_id] = account
+            self.accounts.add(account)
         if spread >= 1 and not account.buckets.slice_count:
             self._assign_slice(account, min(int(spread), self.settings.gateway_count), int(first))
         return account
@@ -251,7 +253,7 @@
 
     def _on_request(self, now: int, sender: int, request: Reservation) -> QuotaReply:
         account = self.account(now, request.customer_id, request.plan_index)
-        if not self._is_owner(account):
+        if account is None or not self._is_owner(account):
             return QuotaReply()
         self.refill(now, account)
         account.record_peer_request(now)
@@ -290,7 +292,8 @@
         """Restore accounts, leases and call rate from a snapshot, and take over a fraction of the buckets."""
         for captured in snapshot.accounts:
             account = self.account(now, captured.customer_id, captured.plan_index)
-            account.restore(now, captured)
+            if account is not None:
+                account.restore(now, captured)
         self.accounts.restore_leases(snapshot.lease_fractions)
         self.counter.restore(snapshot.call_rate)
         self.handover_fraction = incoming_fraction
--- a/qos_gateway/types/settings.py
+++ b/qos_gateway/types/settings.py
@@ -90,3 +90,4 @@
     slow_start_window: int  # duration from an endpoint's start to its full capacity
     cross_zone_cost: float  # cost of an attempt in another zone, as a fraction of a request
     lease_term: int = 0  # duration of a lease on a part of a quota; 0: each request is counted
+    max_customers: int = 0  # maximum customers with state at a time; 0: no limit
--- a/tests/decisions/test_quota_by_counter.py
+++ b/tests/decisions/test_quota_by_counter.py
@@ -84,6 +84,7 @@
 def test_customer_above_its_even_slice_is_counted_despite_light_reported_usage() -> None:
     g = engine_with_counter(rate=2.0, burst=80.0)
     account = g.quota.account(0, 1, 0, 2, 0)
+    assert account is not None
     for i in range(30):
         now = i * SECOND // 10
         account.usage.reported_at, account.counter_calls.unreported_units = now, 0.0
@@ -94,7 +95,9 @@
 
 def test_burst_of_a_customer_with_light_usage_is_reported_in_one_call() -> None:
     g = engine_with_counter(rate=10.0, burst=40.0)
-    g.quota.account(0, 1, 0, 2, 0).usage.reported_at = 0
+    account = g.quota.account(0, 1, 0, 2, 0)
+    assert account is not None
+    account.usage.reported_at = 0
     calls_by_request = [counter_calls(g.handle(MS, arrival(i, MS))) for i in range(6)]
     assert [len(each) for each in calls_by_request] == [0] * 5 + [1]
     assert calls_by_request[5][0].amount == 6.0
--- a/tests/decisions/test_quota_slices.py
+++ b/tests/decisions/test_quota_slices.py
@@ -25,6 +25,7 @@
         granted_count = 0
         for customer in range(200):
             account = engine.quota.account(0, customer, 0, MANY, 0)
+            assert account is not None
             engine.quota.plan_grant_ratio[0].add(0, 1.0)
             account.buckets.local_tokens = 0.0
             for _ in range(requests):
@@ -40,7 +41,9 @@
     engine.quota.counter.call_rate = 0.25
     for i in range(20):
         # With high demand the bucket may be empty, so requests are not exempt from counting.
-        engine.quota.account(0, i, 0, MANY, 0).demand.long_term.add(0, 1.0, 5.0)
+        account = engine.quota.account(0, i, 0, MANY, 0)
+        assert account is not None
+        account.demand.long_term.add(0, 1.0, 5.0)
     calls = [
         a for i in range(20) for a in engine.handle(MS, arrival(i, MS, customer_id=i, gateway_spread=MANY))
     ]
--- a/tests/server/test_metrics.py
+++ b/tests/server/test_metrics.py
@@ -38,6 +38,7 @@
         "edge_router.skipped_order_servers:2|g",
         "edge_router.rejections.unspecified:0|c",
         "edge_router.rejections.customer_cap:0|c",
+        "edge_router.rejections.customer_limit:0|c",
         "edge_router.rejections.load_limit:0|c",
         "edge_router.rejections.quota:2|c",
         "edge_router.rejections.no_endpoint:0|c",
