--- a/qos_gateway/__main__.py
+++ b/qos_gateway/__main__.py
@@ -17,6 +17,7 @@
 from .server.config import Config, ConfigError
 from .server.config.reloader import ConfigReloader, load_at_start
 from .server.gateway import GatewayProcess
+from .server.memory.process_memory import ProcessMemory
 
 EXIT_CONFIG_ERROR = 2
 LOG_LEVEL_VARIABLE = "QOS_GATEWAY_LOG_LEVEL"
@@ -38,7 +39,8 @@
     for stop_signal in STOP_SIGNALS:
         loop.add_signal_handler(stop_signal, stop.set)
     configured_at_s = time.monotonic()
-    gateway = GatewayProcess(config)
+    gc.collect()
+    gateway = GatewayProcess(config, ProcessMemory())
     reloader = ConfigReloader(gateway.reconfigure)
     loop.add_signal_handler(signal.SIGHUP, reloader.request)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, RELOAD_SIGNALS)
--- a/qos_gateway/decisions/admission/commitment_table.py
+++ b/qos_gateway/decisions/admission/commitment_table.py
@@ -1,7 +1,6 @@
 """Table of QoS commitments, and the evaluation that sets each customer's cap."""
 
 from collections.abc import Sequence
-from heapq import nsmallest
 from math import ceil, inf
 
 from ...units import SECOND
@@ -45,7 +44,7 @@
         self._suspend_idle(now)
         due = [c for c in self.active.values() if now - c.evaluated_at >= EVALUATION_INTERVAL_NS]
         if len(due) > MAX_EVALUATIONS_PER_TICK:
-            due = nsmallest(MAX_EVALUATIONS_PER_TICK, due, key=lambda c: c.evaluated_at)
+            due = sorted(due, key=lambda c: c.evaluated_at)[:MAX_EVALUATIONS_PER_TICK]
         throughputs: dict[int, float] = {}
         for commitment in sorted(due, key=lambda c: (c.priority_weight, c.account.customer_id)):
             self.evaluate(now, commitment, throughputs)
--- a/qos_gateway/edge_names.py
+++ b/qos_gateway/edge_names.py
@@ -190,6 +190,10 @@
     RETRIES = "retries"  # values: `RetryCause`
     CLIENT_CLOSES = "client_closes"  # values: `CloseReason`
     VIOLATIONS = "violations"  # values: `Invariant`
+    MEMORY_HELD = "memory_held"  # values: `MemoryUse`
+    MEMORY_CAPACITY = "memory_capacity"
+    MEMORY_WAITING = "memory_waiting"
+    MEMORY_RESIDENT = "memory_resident"
 
 
 class HandoverKey:
--- a/qos_gateway/server/admin/operations.py
+++ b/qos_gateway/server/admin/operations.py
@@ -11,6 +11,8 @@
 from ..discovery.endpoint_directory import EndpointDirectory
 from ..discovery.endpoint_list import endpoint_id
 from ..handover.handover import Handover
+from ..memory.budget import MemoryBudget
+from ..memory.monitor import MemoryMonitor
 from ..observability.metrics import Gauges, Metrics, render
 from ..requests.open_requests import OpenRequests
 
@@ -30,6 +32,8 @@
     requests: OpenRequests
     endpoint_directory: EndpointDirectory
     metrics: Metrics
+    memory: MemoryBudget
+    memory_monitor: MemoryMonitor | None  # None where the memory of the process is not measured
     load_balancer: LoadBalancer
     handover: Handover
     other_process: OtherProcess | None  # None if no other process can take over
@@ -50,8 +54,15 @@
         """Return all metrics in their text format."""
         dependencies = self._dependencies
         excluded = dependencies.load_balancer.excluded_count(self._clock())
+        monitor = dependencies.memory_monitor
         gauges = Gauges(
-            dependencies.requests.unanswered_count(), dependencies.endpoint_directory.listed_count(), excluded
+            open_requests=dependencies.requests.unanswered_count(),
+            listed_endpoints=dependencies.endpoint_directory.listed_count(),
+            excluded_endpoints=excluded,
+            memory_held=dependencies.memory.held,
+            memory_capacity=dependencies.memory.capacity_bytes,
+            memory_waiting=dependencies.memory.waiting_count(),
+            memory_resident=0 if monitor is None else monitor.resident_bytes(),
         )
         return render(dependencies.metrics, gauges)
 
--- a/qos_gateway/server/clients/command_reader.py
+++ b/qos_gateway/server/clients/command_reader.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import cast
 
 import hiredis
 
-from ..networking.resp import CommandFrames, FrameError
+from ..networking.message_parser import parse_message
+from ..networking.resp import MAX_COMMAND_BYTES, CommandFrames, FrameError
+
+# An incomplete command up to this size is counted with its connection.
+SMALL_COMMAND_BYTES = 512
+BUFFER_GROWTH_FACTOR = 1.125  # by which a `bytearray` grows beyond its content
 
 
 class CommandSyntaxError(ValueError):
@@ -16,12 +22,12 @@
 class CommandReader:
     """Splits a client's bytes into commands, which may arrive in several reads."""
 
-    __slots__ = ("_frames", "_reader", "_time", "command_end", "partial_since_s")
+    __slots__ = ("_frames", "_partial", "_time", "command_end", "partial_since_s")
 
     def __init__(self, time: Callable[[], float]) -> None:
         self._time = time
         self._frames = CommandFrames()
-        self._reader = hiredis.Reader()
+        self._partial = bytearray()  # the received part of an incomplete command
         self.command_end = 0  # position after the last command, in the data that contained its end
         # Time at which the first byte of an incomplete command was read, or its timeout last restarted; 0 if
         # there is no such command or its timeout is cancelled.
@@ -32,6 +38,32 @@
         """Whether the last command is incomplete."""
         return self._frames.is_midway
 
+    @property
+    def held_bytes(self) -> int:
+        """The size of the received part of an incomplete command."""
+        return len(self._partial)
+
+    @property
+    def missing_bytes(self) -> int:
+        """How many bytes of an incomplete command's argument are missing."""
+        return self._frames.missing_bytes
+
+    def needed_memory_bytes(self) -> int:
+        """Return the memory that the whole of an incomplete command needs; 0 for a small one.
+
+        Before its last argument a command may become as long as any.
+        """
+        expected_bytes = len(self._partial) + self._frames.missing_bytes
+        if expected_bytes <= SMALL_COMMAND_BYTES:
+            return 0
+        if not self._frames.is_in_last_element:
+            expected_bytes = MAX_COMMAND_BYTES
+        return int(expected_bytes * BUFFER_GROWTH_FACTOR)
+
+    def discard_partial(self) -> None:
+        """Drop an incomplete command, as no further command is parsed."""
+        self._partial.clear()
+
     def restart_timeout(self) -> None:
         """Restart the timeout of an incomplete command, as the gateway was not reading its input."""
         if self.partial_since_s:
@@ -50,13 +82,21 @@
         try:
             end = self._frames.scan(data, start)
             if end < 0:
-                self._reader.feed(data[start:])
+                self._partial += memoryview(data)[start:]
                 self.partial_since_s = self.partial_since_s or self._time()
                 return None
-            self._reader.feed(data[start:end])
-            arguments: list[bytes] = self._reader.gets()
+            arguments = cast(list[bytes], parse_message(self._complete(data[start:end])))
         except (FrameError, hiredis.ProtocolError) as error:
             raise CommandSyntaxError(str(error)) from error
         self.command_end = end
         self.partial_since_s = 0.0
         return arguments
+
+    def _complete(self, last_part: bytes) -> bytes | bytearray:
+        """Return the whole command that ends in `last_part`."""
+        if not self._partial:
+            return last_part
+        command = self._partial
+        command += last_part
+        self._partial = bytearray()
+        return command
--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -5,8 +5,10 @@
 import asyncio
 from typing import Protocol
 
+from ..memory.budget import Priority
 from ..networking.value_stream import FlowControl
 from ..observability.close_reasons import CloseReason
+from ..observability.memory_uses import MemoryUse
 from . import log
 from .commands import error_reply
 from .connection_input import MAX_PIPELINED, ConnectionContext, ConnectionInput
@@ -21,7 +23,8 @@
 )
 from .streamed_reply import StreamedReply
 
-SHUTDOWN_REPLY = b"-BUSY\r\n"  # sent when a command is still incomplete at the end of a drain
+# Sent for an incomplete command: at the end of a drain, and where memory is short.
+INCOMPLETE_REPLY = b"-BUSY\r\n"
 
 
 class ConnectionObserver(Protocol):
@@ -48,12 +51,15 @@
     Half closed: the input is closed, and all replies have been written.
     """
 
+    memory_use = MemoryUse.COMMANDS  # of the memory that it may wait for
+
     __slots__ = (
         "_close_reason",
         "_context",
         "_observer",
         "_queued_since_s",
         "_replies",
+        "half_close_reason",
         "idle_since_s",
         "input",
     )
@@ -69,6 +75,7 @@
         self._replies: ReplyQueue  # set by `connection_made`
         self.input: ConnectionInput  # set by `connection_made`
         self._close_reason: CloseReason | None = None  # None until it is closed
+        self.half_close_reason = CloseReason.PROTOCOL_ERROR  # why it was half-closed, if it is
         # Time at which the connection was opened or last became idle.
         self.idle_since_s = context.time()
 
@@ -76,7 +83,7 @@
         """Create the parts that need the transport, and notify the observer."""
         super().connection_made(transport)
         context = self._context
-        self._replies = ReplyQueue(self._transport, context.buffers, context.streams)
+        self._replies = ReplyQueue(self._transport, context.buffers, context.streams, context.memory)
         self.input = ConnectionInput(context, self._replies)
         if self._queued_since_s is not None and self.unread_bytes():
             self.input.note_queued_since(max(self._queued_since_s, self._connected_at_s()))
@@ -107,7 +114,7 @@
         close_guard.connection_ended(self._close_reason)
         self._observer.connection_closed(self)
         self._context.scheduler.discard(self)
-        self.input.deferred.clear()
+        self.input.release_memory(self)
         for request_number in self._replies.discard():
             self._context.requests.client_disconnected(request_number)
 
@@ -170,6 +177,82 @@
         """Return whether received bytes wait in the socket."""
         return self.unread_bytes() != 0
 
+    # Memory.
+
+    def read_size(self) -> int:
+        """Return how many bytes the next read may return."""
+        return self.input.read_size()
+
+    @property
+    def needed_bytes(self) -> int:
+        """The memory that its incomplete command waits for."""
+        return self.input.command_memory_needed
+
+    @property
+    def priority(self) -> Priority:
+        """The priority of the memory that its incomplete command needs."""
+        return Priority.ADDITIONAL if self._replies.pending else Priority.COMMAND
+
+    def grant_memory(self) -> None:
+        """Reserve memory for the incomplete command, and read on."""
+        self.input.grant_command_memory(self)
+
+    def memory_priority(self, pending_reply: PendingReply) -> Priority:
+        """Return the priority of the memory that the request of a pending reply needs.
+
+        A client that has not received its earlier replies gets no more than for an additional request.
+        """
+        pending = self._replies.pending
+        is_first = bool(pending) and pending[0] is pending_reply
+        if not is_first or self.blocked or unacknowledged_bytes(self._transport):
+            return Priority.ADDITIONAL
+        return Priority.PIPELINED if len(pending) > 1 or self.input.deferred else Priority.FIRST
+
+    @property
+    def was_served(self) -> bool:
+        """Whether the client has got a reply before."""
+        return self._replies.has_written
+
+    def memory_wait_s(self, now_s: float) -> float:
+        """Return for how many seconds its incomplete command has waited for memory; 0 if it does not wait."""
+        waiting_since_s = self.input.waits_for_memory_since_s
+        return now_s - waiting_since_s if waiting_since_s else 0.0
+
+    def command_memory_held(self, now_s: float, min_age_s: float) -> int:
+        """Return the memory in bytes of a command that has been incomplete for `min_age_s`.
+
+        One that itself waits for memory holds little, and has a timeout of its own.
+        """
+        if self.input.waits_for_memory_since_s:
+            return 0
+        partial_since_s = self.input.reader.partial_since_s
+        is_old = bool(partial_since_s) and now_s - partial_since_s >= min_age_s
+        return self.input.command_memory_bytes if is_old and not self.input.is_closed else 0
+
+    def unread_memory_held(self, now_s: float, min_age_s: float) -> int:
+        """Return the memory in bytes of replies of which the client has read nothing for `min_age_s`."""
+        if not self.blocked or not self.is_write_stalled(now_s, min_age_s):
+            return 0
+        return self._replies.held_bytes
+
+    def reject_for_memory(self) -> None:
+        """Reject the incomplete command, and end the connection after the replies to earlier ones."""
+        log.warning(
+            "client_rejected reason=memory_short waited=%s", bool(self.input.waits_for_memory_since_s)
+        )
+        self.half_close_reason = CloseReason.MEMORY
+        self._reply_and_end(INCOMPLETE_REPLY)
+
+    def close_for_memory(self) -> None:
+        """Close at once, as the client holds the memory of replies that it does not read."""
+        log.warning("client_closed_for_memory unread_bytes=%d", self._replies.held_bytes)
+        self.abort(CloseReason.MEMORY)
+
+    def write(self, *parts: bytes | bytearray) -> None:
+        """Write parts of a large value that is streamed."""
+        super().write(*parts)
+        self._replies.note_written(sum(map(len, parts)))
+
     def resume_input(self) -> None:
         """Execute deferred commands, and resume reading."""
         self.input.resume(self)
@@ -231,7 +314,7 @@
             self.reply(pending_reply, reply)
             return
         log.warning("large_value_aborted client_connection=closed")
-        self.input.close()
+        self.input.close(self)
         self.close(CloseReason.VALUE_ABORTED)
 
     def pause_writing(self) -> None:
@@ -261,14 +344,14 @@
         connection is closed.
         """
         if not (self.is_awaiting_replies() or self.input.is_closed or self._transport.is_closing()):
-            self._reply_and_end(SHUTDOWN_REPLY)
+            self._reply_and_end(INCOMPLETE_REPLY)
 
     def _reply_and_end(self, reply: bytes) -> None:
         """Close the input, and half-close the connection after this last reply."""
         self.input.reader.stop_timeout()
-        self.input.close()
+        self.input.close(self)
         pending_reply = PendingReply(self)
-        self._replies.pending.append(pending_reply)
+        self._replies.add(pending_reply)
         self.input.update_reading(self)
         self.reply(pending_reply, reply)
 
--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -6,9 +6,17 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..memory.budget import MemoryBudget, MemoryReservation, MemoryWaiter, Priority
+from ..networking.read_size import (
+    MIN_READ_BYTES,
+    READ_BUFFER_BYTES,
+    read_size_bytes,
+    value_read_size_bytes,
+)
 from ..observability.close_reasons import CloseReason
+from ..observability.memory_uses import MemoryUse
 from .accept_drain import DrainState
-from .buffer_budgets import BufferBudget, StreamBudget
+from .buffer_budgets import ActiveStreams, BufferBudget
 from .close_guard import CloseGuard
 from .command_reader import CommandReader, CommandSyntaxError
 from .commands import CommandExecutor, RequestHandler
@@ -38,14 +46,15 @@
     scheduler: InputScheduler
     requests: RequestHandler
     commands: CommandExecutor
+    memory: MemoryBudget
     buffers: BufferBudget
-    streams: StreamBudget
+    streams: ActiveStreams
     close_guard: CloseGuard
     hangup_monitor: HangupMonitor
     drain: DrainState
 
 
-class InputConnection(ReplyConnection, ScheduledConnection, Protocol):
+class InputConnection(ReplyConnection, ScheduledConnection, MemoryWaiter, Protocol):
     """The operations of a connection that its input uses."""
 
     def is_idle(self) -> bool:
@@ -84,13 +93,14 @@
     rejected when they use too much memory. Commands that take longer than a slice of the scheduler are
     deferred as well, and executed in the connection's next slices. Reading is paused only while the client
     does not accept its replies, while a large value is streamed, while `MAX_PENDING_REPLIES` replies are
-    pending, or while much deferred input waits for the next slice. The connection is passed to each method: a
-    reference to it would form a cycle, and closed connections would stay in memory until the garbage
-    collector runs.
+    pending, while much deferred input waits for the next slice, or while an incomplete command waits for
+    memory. The connection is passed to each method: a reference to it would form a cycle, and closed
+    connections would stay in memory until the garbage collector runs.
     """
 
     __slots__ = (
         "_backlog",
+        "_command_memory",
         "_context",
         "_discarded_bytes",
         "_queued_since_s",
@@ -100,6 +110,7 @@
         "is_closed",
         "is_parsing",
         "reader",
+        "waits_for_memory_since_s",
     )
 
     def __init__(self, context: ConnectionContext, replies: ReplyQueue) -> None:
@@ -107,6 +118,8 @@
         self._replies = replies
         self.reader = CommandReader(context.time)
         self.deferred = DeferredInput(context.buffers)
+        self._command_memory = MemoryReservation(context.memory, MemoryUse.COMMANDS)
+        self.waits_for_memory_since_s = 0.0  # 0 while the incomplete command has the memory that it needs
         self._backlog = InputBacklog()
         # Earliest receive time of the first read, if its bytes arrived before the accept; otherwise None.
         self._queued_since_s: float | None = None
@@ -138,10 +151,66 @@
             has_used_slice = scheduler.has_time() and self._must_shed(connection)
             if has_used_slice:
                 self._run_slice(connection)
+        self._reserve_command_memory(connection)
         if self.deferred:
             self._schedule(connection, has_used_slice)
             self.update_reading(connection)
 
+    # Memory of an incomplete command.
+
+    def read_size(self) -> int:
+        """Return the size of the next read."""
+        context = self._context
+        if self.is_closed:
+            return READ_BUFFER_BYTES  # it is discarded
+        if context.buffers.is_read_ahead_over_limit(0):
+            return MIN_READ_BYTES
+        if self._command_memory.size_bytes:
+            return value_read_size_bytes(context.memory, self.reader.missing_bytes, is_reserved=True)
+        return read_size_bytes(context.memory)
+
+    @property
+    def command_memory_bytes(self) -> int:
+        """The memory that is reserved for the incomplete command."""
+        return self._command_memory.size_bytes
+
+    @property
+    def command_memory_needed(self) -> int:
+        """The memory that the incomplete command needs beyond what is reserved for it."""
+        return max(0, self.reader.needed_memory_bytes() - self._command_memory.size_bytes)
+
+    def _reserve_command_memory(self, connection: InputConnection) -> None:
+        """Reserve memory for all of the incomplete command that is known, or pause until there is room."""
+        needed_bytes = self.command_memory_needed
+        reserved_bytes = self._command_memory.size_bytes
+        if not self.reader.held_bytes:
+            self._command_memory.release()
+            return
+        if self.is_closed or needed_bytes <= 0 or self.waits_for_memory_since_s:
+            return
+        if self._command_memory.resize(reserved_bytes + needed_bytes, connection.priority):
+            return
+        self._command_memory.set_size(max(reserved_bytes, self.reader.held_bytes))
+        self.waits_for_memory_since_s = self._context.time()
+        self._context.memory.enqueue(connection)
+        self.update_reading(connection)
+
+    def grant_command_memory(self, connection: InputConnection) -> None:
+        """Reserve the memory that the incomplete command waits for, and read on."""
+        self._command_memory.set_size(self._command_memory.size_bytes + self.command_memory_needed)
+        self.waits_for_memory_since_s = 0.0
+        self.update_reading(connection)
+
+    def release_memory(self, connection: InputConnection) -> None:
+        """Drop all input."""
+        self._context.memory.discard(connection)
+        self.waits_for_memory_since_s = 0.0
+        self.deferred.clear()
+        self.reader.discard_partial()
+        self._command_memory.release()
+
+    # Executing commands.
+
     def _receive_times(self, connection: InputConnection, size: int) -> ReceiveTimes:
         """Return the receive times of the bytes that are read now."""
         now_s = self._context.time()
@@ -210,7 +279,8 @@
                     break
                 position = self.reader.command_end
                 pending_reply = PendingReply(connection)
-                self._replies.pending.append(pending_reply)
+                self._replies.add(pending_reply)
+                self._command_memory.release()
                 self.has_sent_command = True
                 connection.command_received()
                 if may_execute:
@@ -233,24 +303,35 @@
         Not while a large value is streamed: the connection closes if the value fails, and the commands after
         it would get no reply.
         """
-        has_capacity = len(self._replies.pending) < MAX_PIPELINED
+        open_count = len(self._replies.pending)
+        has_capacity = not open_count or (open_count < MAX_PIPELINED and self._has_additional_memory())
         return has_capacity and not (connection.blocked or self._replies.is_streaming_value())
 
+    def _has_additional_memory(self) -> bool:
+        """Return whether there is memory for more than the first command of a connection."""
+        return self._context.memory.has_room(0, Priority.ADDITIONAL)
+
     def _must_shed(self, connection: InputConnection) -> bool:
         """Return whether the oldest deferred command has to be rejected."""
-        return self.deferred.is_over_limit() and not self._may_execute(connection)
+        return self._has_to_shed() and not self._may_execute(connection)
+
+    def _has_to_shed(self) -> bool:
+        """Return whether deferred commands use too much memory, and there is some for their replies."""
+        return self.deferred.is_over_limit() and self._has_additional_memory()
 
     def _is_runnable(self, connection: InputConnection) -> bool:
         """Return whether a deferred command may be executed, or has to be rejected."""
         if not self.deferred or self.is_closed:
             return False
-        return self._may_execute(connection) or self.deferred.is_over_limit()
+        return self._may_execute(connection) or self._has_to_shed()
 
     def _may_read(self, connection: InputConnection) -> bool:
         """Return whether more commands may be read."""
         is_full = len(self._replies.pending) >= MAX_PENDING_REPLIES
         if is_full or connection.blocked or self._replies.is_streaming_value():
             return False
+        if self.waits_for_memory_since_s or (self.deferred and not self._has_additional_memory()):
+            return False
         return not (self._is_runnable(connection) and self.deferred.is_read_ahead_over_limit())
 
     def has_unprocessed_input(self, connection: InputConnection) -> bool:
@@ -264,6 +345,7 @@
             if not self.deferred:
                 self.reader.restart_timeout()
             self._schedule(connection, has_used_slice=True)
+            self._reserve_command_memory(connection)
         self.update_reading(connection)
 
     def _schedule(self, connection: InputConnection, has_used_slice: bool) -> None:
@@ -271,9 +353,10 @@
         if self._is_runnable(connection):
             self._context.scheduler.add(connection, has_used_slice)
 
-    def close(self) -> None:
+    def close(self, connection: InputConnection) -> None:
         """Stop executing commands, and discard further input."""
         self.is_closed = True
+        self.release_memory(connection)
 
     def update_reading(self, connection: InputConnection) -> None:
         """Resume or pause reading; while it is paused, watch for the client to disconnect."""
--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -10,10 +10,14 @@
 
 from ...units import SECOND
 from ..config import Config
+from ..memory.budget import MemoryBudget
+from ..memory.limits import CLIENT_CONNECTION_BYTES
+from ..networking.read_size import READ_BUFFER_BYTES
 from ..networking.transient_errors import retry_transient
 from ..observability.close_reasons import CloseReason
+from ..observability.memory_uses import MemoryUse
 from .accept_drain import ACCEPT_QUIET_PERIOD_S, ConnectionDrainer, DrainState
-from .buffer_budgets import BufferBudget, StreamBudget
+from .buffer_budgets import ActiveStreams, BufferBudget
 from .close_guard import CloseGuard
 from .commands import CommandExecutor, RequestHandler
 from .connection import ClientConnection
@@ -23,7 +27,6 @@
 from .listener import Listener, bound_socket, inherited_socket
 from .loop_stalls import LoopStallDetector
 from .request_parser import RequestParser
-from .socket_protocol import READ_BUFFER_BYTES
 from .timeouts import TimeoutChecker
 
 NEAR_LIMIT_FRACTION = 0.75  # above this fraction of the limit, idle connections are closed sooner
@@ -37,9 +40,15 @@
     """The listening socket and the connections accepted on it."""
 
     def __init__(
-        self, config: Config, requests: RequestHandler, max_connections: int, close_guard: CloseGuard
+        self,
+        config: Config,
+        requests: RequestHandler,
+        max_connections: int,
+        close_guard: CloseGuard,
+        memory: MemoryBudget,
     ) -> None:
-        self.context = _build_context(config, requests, max_connections, close_guard)
+        self.context = _build_context(config, requests, close_guard, memory)
+        self._memory = memory
         self._configured_max_connections = max_connections
         self.max_connections = max_connections
         # Connections are new until a complete command is received. Both groups are in eviction order, the
@@ -98,6 +107,10 @@
         """Return whether the number of connections is close to its limit."""
         return self.connection_count() > NEAR_LIMIT_FRACTION * self.max_connections
 
+    def memory_to_reclaim(self) -> int:
+        """Return how many bytes of memory the first requests of connections wait for."""
+        return self._memory.waiting_bytes() if self._memory.is_short else 0
+
     def _has_capacity(self) -> bool:
         """Return whether one more connection can be accepted, evicting another one if necessary."""
         if self.connection_count() + self._connecting_count() < self.max_connections:
@@ -147,6 +160,7 @@
         """Add a connection."""
         self.last_connected_at_s = self.time()
         self._new_connections[client] = None
+        self._memory.add(MemoryUse.CLIENT_CONNECTIONS, CLIENT_CONNECTION_BYTES)
 
     def command_received(self, client: ClientConnection) -> None:
         """Make a connection the last to be evicted, as its client has sent a complete command."""
@@ -159,8 +173,11 @@
     def connection_closed(self, client: ClientConnection) -> None:
         """Remove a closed or evicted connection."""
         self.context.hangup_monitor.discard(client)
+        if client not in self._new_connections and client not in self._connections:
+            return
         self._new_connections.pop(client, None)
         self._connections.pop(client, None)
+        self._memory.release(MemoryUse.CLIENT_CONNECTIONS, CLIENT_CONNECTION_BYTES)
 
     # Shutdown.
 
@@ -199,11 +216,10 @@
 
 
 def _build_context(
-    config: Config, requests: RequestHandler, max_connections: int, close_guard: CloseGuard
+    config: Config, requests: RequestHandler, close_guard: CloseGuard, memory: MemoryBudget
 ) -> ConnectionContext:
     """Build the context that all connections share."""
     loop = asyncio.get_running_loop()
-    buffers = BufferBudget(config.memory_bytes, max_connections)
     return ConnectionContext(
         time=time.monotonic,
         stall_detector=LoopStallDetector(),
@@ -211,8 +227,9 @@
         scheduler=InputScheduler(loop.call_soon),
         requests=requests,
         commands=CommandExecutor(RequestParser(config), requests),
-        buffers=buffers,
-        streams=StreamBudget(buffers),
+        memory=memory,
+        buffers=BufferBudget(memory),
+        streams=ActiveStreams(),
         close_guard=close_guard,
         hangup_monitor=HangupMonitor(),
         drain=DrainState(),
--- a/qos_gateway/server/clients/deferred_input.py
+++ b/qos_gateway/server/clients/deferred_input.py
@@ -56,13 +56,13 @@
     def pop_first(self) -> InputChunk:
         """Remove the oldest chunk and return it."""
         chunk = self._chunks.popleft()
-        self._add_size(-chunk.size_bytes)
+        self._release_size(chunk.size_bytes)
         return chunk
 
     def clear(self) -> None:
         """Drop all chunks."""
         self._chunks.clear()
-        self._add_size(-self._size_bytes)
+        self._release_size(self._size_bytes)
 
     def is_over_limit(self) -> bool:
         """Return whether the chunks of this connection, or of all connections, exceed their memory limit."""
@@ -75,3 +75,7 @@
     def _add_size(self, added_bytes: int) -> None:
         self._size_bytes += added_bytes
         self._buffers.add_deferred(added_bytes)
+
+    def _release_size(self, released_bytes: int) -> None:
+        self._size_bytes -= released_bytes
+        self._buffers.release_deferred(released_bytes)
--- a/qos_gateway/server/clients/pending_replies.py
+++ b/qos_gateway/server/clients/pending_replies.py
@@ -6,11 +6,15 @@
 from collections import deque
 from typing import Protocol
 
+from ..memory.budget import MemoryBudget, MemoryReservation, Priority
 from ..networking.value_stream import FlowControl
 from ..observability.close_reasons import CloseReason
-from .buffer_budgets import BufferBudget, StreamBudget
+from ..observability.memory_uses import MemoryUse
+from .buffer_budgets import ActiveStreams, BufferBudget
 from .streamed_reply import StreamedReply, ValueConnection, ValueState
 
+PENDING_REPLY_BYTES = 192  # memory of the objects of one pending reply
+
 
 class ReplyConnection(ValueConnection, Protocol):
     """The operations of a client connection that writing a reply needs."""
@@ -30,34 +34,81 @@
     def abort(self, reason: CloseReason) -> None:
         """Close immediately."""
 
+    def memory_priority(self, pending_reply: PendingReply, /) -> Priority:
+        """Return the priority of the memory that the request of this reply needs."""
+
+    @property
+    def was_served(self) -> bool:
+        """Whether the client has got a reply before."""
+
 
 class PendingReply:
     """One command's entry in the reply order of its connection."""
 
-    __slots__ = ("buffered_bytes", "client", "reply", "request_number", "stream")
+    __slots__ = ("buffered", "buffered_bytes", "client", "reply", "request_number", "stream")
 
     def __init__(self, client: ReplyConnection, request_number: int = -1) -> None:
         self.client = client
         self.request_number = request_number  # number of the open request; -1 if there is none
-        self.reply: bytes | None = None  # the complete reply, when it is known
+        self.reply: bytes | None = None  # the complete reply, or its end after `buffered`
+        self.buffered: tuple[bytes, bytearray] | None = None  # the start of a large value, with its header
         self.stream: StreamedReply | None = None  # a large value that is being received
         # Bytes that are reserved in the buffer budget for a large value that is not written.
         self.buffered_bytes = 0
 
 
 class ReplyQueue:
-    """The pending replies of one connection, the oldest first."""
-
-    __slots__ = ("_buffers", "_streams", "_transport", "_written_buffered_bytes", "pending")
-
-    def __init__(self, transport: asyncio.Transport, buffers: BufferBudget, streams: StreamBudget) -> None:
+    """The pending replies of one connection, the oldest first.
+
+    Replies that wait for earlier ones, and written ones that the client does not accept, are counted in the
+    memory budget. The transport blocks the connection as soon as anything written waits for the client.
+    """
+
+    __slots__ = (
+        "_buffers",
+        "_memory",
+        "_streams",
+        "_transport",
+        "_unaccepted_bytes",
+        "_waiting_bytes",
+        "_written_buffered_bytes",
+        "has_written",
+        "pending",
+    )
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        buffers: BufferBudget,
+        streams: ActiveStreams,
+        memory: MemoryBudget,
+    ) -> None:
         self._transport = transport
         self._buffers = buffers
         self._streams = streams
+        self._memory = MemoryReservation(memory, MemoryUse.REPLIES)
+        self._waiting_bytes = 0  # complete replies that wait for earlier ones
+        self._unaccepted_bytes = 0  # written ones that the client may not have accepted
         # Bytes of buffered values that were written and that the client may not have accepted.
         self._written_buffered_bytes = 0
+        self.has_written = False  # a whole reply
         self.pending: deque[PendingReply] = deque()
-        transport.set_write_buffer_limits(high=buffers.write_buffer_bytes)
+        transport.set_write_buffer_limits(high=0)
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory of replies that wait or that the client has not accepted."""
+        return self._memory.size_bytes + self._written_buffered_bytes
+
+    def add(self, pending_reply: PendingReply) -> None:
+        """Add the reply to the newest command."""
+        self.pending.append(pending_reply)
+        if len(self.pending) > 1:
+            self._update_memory()
+
+    def _update_memory(self) -> None:
+        objects_bytes = len(self.pending) * PENDING_REPLY_BYTES if len(self.pending) > 1 else 0
+        self._memory.set_size(objects_bytes + self._waiting_bytes + self._unaccepted_bytes)
 
     def write(self, pending_reply: PendingReply, reply: bytes) -> bool:
         """Write a reply and the complete ones after it if it is the first; return whether it is."""
@@ -65,19 +116,37 @@
         if pending_reply.stream is not None:
             self._end_stream(pending_reply, pending_reply.stream)
         pending = self.pending
+        self._waiting_bytes += len(reply)
         if pending[0] is not pending_reply:
+            self._update_memory()
             return False
-        if len(pending) == 1:
-            self._mark_written(pending.popleft())
-            self._transport.write(reply)
-            return True
-        replies = []
+        parts: list[bytes | bytearray] = []
+        written_bytes = 0
         while pending and (ready := pending[0].reply) is not None:
-            self._mark_written(pending.popleft())
-            replies.append(ready)
-        self._transport.write(b"".join(replies))
+            written = pending.popleft()
+            if written.buffered is not None:
+                parts += written.buffered
+            parts.append(ready)
+            written_bytes += len(ready)
+            self._mark_written(written)
+        self._waiting_bytes -= written_bytes
+        self.has_written = True
+        self._write_parts(parts)
+        self.note_written(written_bytes)
         return True
 
+    def _write_parts(self, parts: list[bytes | bytearray]) -> None:
+        if len(parts) == 1:
+            self._transport.write(parts[0])
+        else:
+            self._transport.writelines(parts)
+
+    def note_written(self, size_bytes: int) -> None:
+        """Count bytes that were written until the client has accepted them."""
+        if self._transport.get_write_buffer_size():
+            self._unaccepted_bytes += size_bytes
+        self._update_memory()
+
     # Memory of large values.
 
     def _reserve(self, pending_reply: PendingReply, stream: StreamedReply) -> None:
@@ -98,7 +167,10 @@
         pending_reply.buffered_bytes = 0
 
     def release_written(self) -> None:
-        """Release the budget of written values, as the client accepts them."""
+        """Release the memory of what was written, as the client has accepted it."""
+        if self._unaccepted_bytes:
+            self._unaccepted_bytes = 0
+            self._update_memory()
         if self._written_buffered_bytes:
             self._buffers.release_buffered(self._written_buffered_bytes)
             self._written_buffered_bytes = 0
@@ -115,7 +187,7 @@
             if stream.state is not ValueState.BUFFERING:  # its last bytes came with those that paused it
                 self._buffers.add_buffered(stream.length)
             pending_reply.buffered_bytes = stream.length
-        self._transport.set_write_buffer_limits(high=self._buffers.write_buffer_bytes)
+            pending_reply.buffered = stream.take_buffered()
 
     def start_stream(
         self, pending_reply: PendingReply, length: int, flow_control: FlowControl, has_commands_behind: bool
@@ -160,7 +232,7 @@
         if has_commands_behind:
             self._reserve(self.pending[0], stream)
             return False
-        self._transport.set_write_buffer_limits(high=self._streams.start())
+        self._streams.start()
         if stream.state is ValueState.BUFFERING:
             self._written_buffered_bytes += stream.received_bytes
             self._buffers.release_buffered(stream.length - stream.received_bytes)
@@ -200,5 +272,7 @@
             self._mark_written(pending_reply)
             if pending_reply.reply is None:
                 unanswered.append(pending_reply.request_number)
+        self._waiting_bytes = 0
         self.release_written()
+        self._memory.release()
         return unanswered
--- a/qos_gateway/server/clients/socket_protocol.py
+++ b/qos_gateway/server/clients/socket_protocol.py
@@ -11,9 +11,6 @@
 from dataclasses import dataclass
 from typing import cast
 
-# Bounds the memory and the commands of one read. uvloop's own buffer holds 256 kB, for each connection that
-# waits to have its commands executed.
-READ_BUFFER_BYTES = 32 << 10
 HALF_CLOSE_TIMEOUT_S = 0.75  # input is read and discarded for this time after the last reply
 _IOCTL_INT_FORMAT = "i"  # result of the ioctl requests below, as a `struct` format
 # `struct tcp_info` in linux/tcp.h: 8 bytes, then 32-bit fields; these two are in ms.
@@ -142,7 +139,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - signature of asyncio.BufferedProtocol
         """Return the buffer for the next read."""
-        return self._read_buffer
+        return self._read_buffer[: self.read_size()]
+
+    def read_size(self) -> int:
+        """Return how many bytes the next read may return."""
+        return len(self._read_buffer)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle the bytes of a read."""
@@ -181,10 +182,10 @@
         """Whether the event loop reads from the socket."""
         return self._is_reading
 
-    def write(self, data: bytes) -> None:
-        """Write part of the first pending reply, unless the transport is closing."""
+    def write(self, *parts: bytes | bytearray) -> None:
+        """Write parts of the first pending reply, unless the transport is closing."""
         if not self._transport.is_closing():
-            self._transport.write(data)
+            self._transport.writelines(parts)
 
     def set_reading(self, may_read: bool) -> bool:
         """Resume or pause reading; return whether that changed the state of an open transport."""
--- a/qos_gateway/server/clients/streamed_reply.py
+++ b/qos_gateway/server/clients/streamed_reply.py
@@ -7,6 +7,8 @@
 
 from ..networking.value_stream import FlowControl
 
+VALUE_END = b"\r\n"  # of a reply that is a large value
+
 
 class ValueState(Enum):
     """How a large value is received and written."""
@@ -25,8 +27,8 @@
     def blocked(self) -> bool:
         """Whether the write buffer is full because the client does not accept its replies."""
 
-    def write(self, data: bytes, /) -> None:
-        """Write part of the first pending reply."""
+    def write(self, *parts: bytes | bytearray) -> None:
+        """Write parts of the first pending reply."""
 
 
 class StreamedReply:
@@ -53,7 +55,7 @@
         self._client = client
         self._flow_control = flow_control
         self._header = b"$%d\r\n" % length
-        self._buffered: list[bytes] = []  # parts received before streaming started
+        self._buffered = bytearray()  # received before streaming started
         self.length = length
         self.received_bytes = 0
         self.state = ValueState.NEW
@@ -74,7 +76,7 @@
         if self.started:
             self._client.write(data)
         else:
-            self._buffered.append(data)
+            self._buffered += data
 
     def buffer(self) -> None:
         """Receive the value into memory, which was reserved for it."""
@@ -88,11 +90,9 @@
         self._flow_control.pause()
 
     def start(self) -> None:
-        """Write the buffered parts; later parts are written as they are received."""
+        """Write the buffered part; later parts are written as they are received."""
         self.state = ValueState.STREAMING
-        buffered = self._buffered
-        self._buffered = []
-        self._client.write(b"".join((self._header, *buffered)))
+        self._client.write(*self.take_buffered())
         self.set_paused(self._client.blocked)
 
     def set_paused(self, paused: bool) -> None:
@@ -102,8 +102,8 @@
         else:
             self._flow_control.resume()
 
-    def finish(self) -> bytes:
-        """Return the bytes that remain to be written after the whole value was received."""
-        if self.started:
-            return b"\r\n"
-        return b"".join((self._header, *self._buffered, b"\r\n"))
+    def take_buffered(self) -> tuple[bytes, bytearray]:
+        """Return the header and the part of the value that was buffered, to be written by the caller."""
+        buffered = self._buffered
+        self._buffered = bytearray()
+        return self._header, buffered
--- a/qos_gateway/server/clients/timeouts.py
+++ b/qos_gateway/server/clients/timeouts.py
@@ -9,10 +9,14 @@
 from ..observability.close_reasons import CloseReason
 from . import log
 from .connection import ClientConnection
+from .memory_reclaim import reclaim_memory
 
 CHECK_INTERVAL_S = 0.25
+SHORT_MEMORY_CHECK_INTERVAL_S = 0.05  # while something waits for memory
 # A command must be complete within this time of its first byte, and the first one within it of the connect.
 COMMAND_TIMEOUT_S = 2.6
+# An incomplete command that waits for memory is rejected after this time.
+MEMORY_WAIT_TIMEOUT_S = 0.75
 # A blocked client that acknowledges nothing for this time is disconnected.
 WRITE_STALL_TIMEOUT_S = 2.0
 # The timeout is longer while a large value is written, as slow readers pause for longer.
@@ -34,6 +38,9 @@
     def is_near_limit(self) -> bool:
         """Return whether the number of connections is close to its limit."""
 
+    def memory_to_reclaim(self) -> int:
+        """Return how many bytes of memory the first requests of connections wait for."""
+
 
 class TimeoutChecker:
     """Checks all connections periodically, and closes those past their timeouts."""
@@ -45,7 +52,9 @@
 
     def start(self) -> None:
         """Schedule the next check; each check schedules the one after it."""
-        self._timer = self._loop.call_later(CHECK_INTERVAL_S, self.check)
+        is_short = self._connections.memory_to_reclaim() > 0
+        interval_s = SHORT_MEMORY_CHECK_INTERVAL_S if is_short else CHECK_INTERVAL_S
+        self._timer = self._loop.call_later(interval_s, self.check)
 
     def stop(self) -> None:
         """Stop checking."""
@@ -57,15 +66,21 @@
         self.start()
         now_s = self._connections.time()
         is_near_limit = self._connections.is_near_limit()
-        for client in self._connections.connections():
+        clients = self._connections.connections()
+        for client in clients:
             enforce_timeouts(client, now_s, is_near_limit)
+        needed_bytes = self._connections.memory_to_reclaim()
+        if needed_bytes:
+            reclaim_memory(clients, now_s, needed_bytes)
 
 
 def enforce_timeouts(client: ClientConnection, now_s: float, is_near_limit: bool) -> None:
     """Close a connection that has exceeded the timeout of its state."""
     if client.half_close_ends_at_s:
         if client.is_half_close_over(now_s, WRITE_STALL_TIMEOUT_S):
-            client.abort(CloseReason.PROTOCOL_ERROR)
+            client.abort(client.half_close_reason)
+    elif client.memory_wait_s(now_s) >= MEMORY_WAIT_TIMEOUT_S:
+        client.reject_for_memory()
     elif client.blocked:
         timeout_s = LARGE_WRITE_STALL_TIMEOUT_S if client.is_writing_large_value() else WRITE_STALL_TIMEOUT_S
         if client.is_write_stalled(now_s, timeout_s):
--- a/qos_gateway/server/endpoints/attempt.py
+++ b/qos_gateway/server/endpoints/attempt.py
@@ -22,6 +22,10 @@
 
     has_unsent: bool
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the gateway does not read the response, for lack of memory or a slow client."""
+
     def close(self) -> None:
         """Close immediately."""
 
@@ -40,7 +44,8 @@
     expires_at_ns: int
     command: RequestCommand
     send_deadline_ns: int = 0  # the command must be written before this time; 0 means no limit
-    response_started_at_ns: int = field(default=0, init=False)  # first bytes of a large value received
+    # When the first bytes came of a large value, or of a response that waits for memory; 0 for others.
+    response_started_at_ns: int = field(default=0, init=False)
     ended: bool = field(default=False, init=False)  # True once the result has been reported
     outcome: Outcome | None = field(default=None, init=False)  # None until it has ended
     connection: AttemptConnection | None = field(default=None, init=False)
@@ -48,14 +53,21 @@
 
     read_response = staticmethod(read_response)
 
-    def payload(self, now_ns: int) -> bytes:
-        """Return the client's command with `d` set to the attempt's remaining time in ms, rounded up."""
+    def payload(self, now_ns: int) -> tuple[bytes, ...]:
+        """Return the parts of the client's command, with `d` set to the remaining time in ms, rounded up.
+
+        The body is a part of its own, so that an attempt that is written slowly holds no copy of it.
+        """
         command = self.command
         time_left_ms = max(1, -(-(self.expires_at_ns - now_ns) // MILLISECOND))
         pairs = _PAIRS_FORMAT % (command.pairs_before_deadline, time_left_ms, command.pairs_after_deadline)
-        words: tuple[bytes, ...] = (*command.start, pairs, *command.body)
+        words: tuple[bytes, ...] = (*command.start, pairs)
         packed: bytes = hiredis.pack_command(words)  # type: ignore[arg-type]  # stub lacks bytes
-        return packed
+        if not command.body:
+            return (packed,)
+        (body,) = command.body
+        head = b"*%d%b$%d\r\n" % (len(words) + 1, packed[packed.index(b"\r") :], len(body))
+        return head, body, b"\r\n"
 
 
 _PROBE_COMMAND = RequestCommand(
@@ -83,7 +95,7 @@
             command=_PROBE_COMMAND,
         )
 
-    def payload(self, now_ns: int) -> bytes:  # noqa: ARG002  # a probe carries no deadline
+    def payload(self, now_ns: int) -> tuple[bytes, ...]:  # noqa: ARG002  # a probe carries no deadline
         """Return the probe's command."""
         packed: bytes = hiredis.pack_command(self.command.start)  # type: ignore[arg-type]
-        return packed
+        return (packed,)
--- a/qos_gateway/server/endpoints/attempt_reporter.py
+++ b/qos_gateway/server/endpoints/attempt_reporter.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from ...types import Outcome
+from ..memory.budget import Priority
 from ..networking.value_stream import FlowControl, ResponseSink
 from ..observability.metrics import Metrics
 from .attempt import Attempt, ProbeAttempt
@@ -21,6 +22,12 @@
     def on_response_started(self, attempt: Attempt, length: int, flow: FlowControl, /) -> ResponseSink | None:
         """Return the sink of a large value of `length` bytes, or None to cancel the attempt."""
 
+    def memory_priority(self, attempt: Attempt, /) -> Priority | None:
+        """Return the priority of the memory for a response, None if it is no longer needed."""
+
+    def on_response_without_memory(self, attempt: Attempt, /) -> None:
+        """End a request whose response cannot be received; its attempt is cancelled next."""
+
     def is_client_waiting(self, attempt: Attempt, /) -> bool:
         """Return whether the attempt's client is still waiting for a response."""
 
--- a/qos_gateway/server/endpoints/connection.py
+++ b/qos_gateway/server/endpoints/connection.py
@@ -13,8 +13,11 @@
 
 from ...types import Outcome
 from ..config import Address
+from ..memory.budget import MemoryReservation, Priority
+from ..networking.read_size import read_size_bytes, value_read_size_bytes
 from ..networking.transient_errors import is_resource_shortage
 from ..observability.logs import RateLimitFilter
+from ..observability.memory_uses import MemoryUse
 from .attempt import Attempt
 from .connection_context import ConnectionContext
 from .response_deadline import ResponseDeadline
@@ -25,6 +28,8 @@
 log.addFilter(RateLimitFilter())
 
 RECEIVE_BUFFER_BYTES = 64 << 10  # kernel receive buffer; limits the size of one read
+# An incomplete response up to this size is counted with its request.
+SMALL_RESPONSE_BYTES = 1 << 10
 # Time after the last byte of a request in which a reset is the reply to it; longer than a round trip.
 STALE_RESET_WINDOW_S = 0.02
 
@@ -42,12 +47,15 @@
         """Remove a closed connection; may be called more than once per connection."""
 
 
-class EndpointConnection(asyncio.Protocol):
+class EndpointConnection(asyncio.BufferedProtocol):
     """A connection that carries one attempt at a time.
 
-    An attempt is fully sent once the write buffer is empty.
+    An attempt is fully sent once the write buffer is empty. A response is received once there is memory for
+    it; until then it stays with the system.
     """
 
+    memory_use = MemoryUse.RESPONSES  # of the memory that it may wait for
+
     __slots__ = (
         "address",
         "attempt",
@@ -58,6 +66,7 @@
         "idle_before_request_s",
         "idle_since",
         "listener",
+        "memory",
         "responses",
         "timer",
         "transport",
@@ -77,6 +86,7 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None  # connect timeout, then response timeout
         self.responses = ResponseReceiver(context.clock, context.attempt_listener)
+        self.memory = MemoryReservation(context.memory, MemoryUse.RESPONSES)
         self.deadline = ResponseDeadline()
         self.unread_poll = select.poll()  # created once, as it is used before each request
         self.has_unsent = True
@@ -102,6 +112,11 @@
         """Return whether the connection is closed or closing."""
         return self.attempt is None if self.transport is None else self.transport.is_closing()
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the gateway does not read the response, for lack of memory or a slow client."""
+        return self.deadline.is_paused
+
     def is_expired(self, now: float) -> bool:
         """Return whether it was idle for so long that the endpoint may have dropped the connection."""
         return now - self.idle_since >= self.context.keep_alive.idle_limit_s
@@ -141,7 +156,7 @@
         if self.idle_since:
             self.idle_before_request_s = self.written_at - self.idle_since
             context.keep_alive.record_reuse(self.idle_before_request_s)
-        transport.write(attempt.payload(now_ns))
+        transport.writelines(attempt.payload(now_ns))
         # A write to a broken connection sends nothing and leaves the transport closing.
         self.has_unsent = transport.is_closing() or transport.get_write_buffer_size() > 0
         if not self.has_unsent:
@@ -162,6 +177,7 @@
             self._shut_down()
         self.attempt = None
         self.cancel_timer()
+        self.release_memory()
         if self.transport is not None:
             self.transport.abort()
         self.listener.on_closed(self)
@@ -186,6 +202,48 @@
             self.timer.cancel()
             self.timer = None
 
+    # Memory of an incomplete response.
+
+    def release_memory(self) -> None:
+        """Release the memory of a response, and wait for none."""
+        self.memory.release()
+        self.context.memory.discard(self)
+
+    def _reserve_memory(self, attempt: Attempt) -> None:
+        """Reserve memory for the whole response, or pause until there is room."""
+        if self.responses.expected_bytes <= SMALL_RESPONSE_BYTES:
+            return
+        priority = self.context.attempt_listener.memory_priority(attempt)
+        if self.memory.resize(self.responses.expected_bytes, priority or Priority.ADDITIONAL):
+            return
+        self.memory.set_size(max(self.memory.size_bytes, self.responses.held_bytes))
+        if priority is None or not self.context.memory.may_wait_for_response():
+            self.context.attempt_listener.on_response_without_memory(attempt)
+            self.fail(Outcome.CANCELLED)
+            return
+        self.pause()
+        attempt.response_started_at_ns = attempt.response_started_at_ns or self.context.clock()
+        if attempt.timer is not None:
+            attempt.timer.cancel()  # the endpoint has responded in time
+        self.context.memory.enqueue(self)
+
+    @property
+    def needed_bytes(self) -> int:
+        """The memory that the response waits for."""
+        return self.responses.expected_bytes - self.memory.size_bytes
+
+    @property
+    def priority(self) -> Priority:
+        """The priority of the memory that the response waits for."""
+        attempt = self.attempt
+        priority = None if attempt is None else self.context.attempt_listener.memory_priority(attempt)
+        return Priority.ADDITIONAL if priority is None else priority
+
+    def grant_memory(self) -> None:
+        """Reserve the memory that the response waits for, and read on."""
+        self.memory.set_size(self.responses.expected_bytes)
+        self.resume()
+
     # Flow control of a large value.
 
     def pause(self) -> None:
@@ -227,6 +285,20 @@
             self.context.reporter.record_written(self.attempt)
         self.has_unsent = False
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - signature of asyncio.BufferedProtocol
+        """Return the buffer for the next read."""
+        memory, responses = self.context.memory, self.responses
+        if responses.value_missing_bytes:
+            is_reserved = self.memory.size_bytes > 0
+            size_bytes = value_read_size_bytes(memory, responses.value_missing_bytes, is_reserved)
+        else:
+            size_bytes = read_size_bytes(memory)
+        return self.context.read_buffer[:size_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes of a read."""
+        self.data_received(bytes(self.context.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and end the attempt when its response is complete."""
         attempt = self.attempt
@@ -241,6 +313,7 @@
             return
         if result is None:
             self._await_more_data()
+            self._reserve_memory(attempt)
             return
         if self.timer is not None:
             self.cancel_timer()
@@ -253,12 +326,14 @@
         else:
             self.close()  # more data may follow that belongs to no request
         self.context.reporter.finish(attempt, result)
+        self.release_memory()
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002  # the cause does not matter
         """End the attempt, and record a reset that follows a request on a reused connection."""
         attempt = self.attempt
         self.attempt = None
         self.cancel_timer()
+        self.release_memory()
         self.listener.on_closed(self)
         if attempt is None:
             return
--- a/qos_gateway/server/endpoints/connection_context.py
+++ b/qos_gateway/server/endpoints/connection_context.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..memory.budget import MemoryBudget
 from .attempt_reporter import AttemptListener, AttemptReporter
 from .keep_alive import KeepAliveEstimator
 
@@ -20,3 +21,5 @@
     keep_alive: KeepAliveEstimator
     attempt_listener: AttemptListener
     reporter: AttemptReporter
+    memory: MemoryBudget
+    read_buffer: memoryview  # holds the bytes of one read until they are copied
--- a/qos_gateway/server/endpoints/connection_limit.py
+++ b/qos_gateway/server/endpoints/connection_limit.py
@@ -4,12 +4,19 @@
 
 from collections.abc import Callable
 
+from ..memory.budget import MemoryBudget
+from ..memory.limits import ENDPOINT_CONNECTION_BYTES
+from ..observability.memory_uses import MemoryUse
+
 
 class ConnectionLimit:
     """Counts open connections against a maximum, which is lowered while two processes share it."""
 
-    def __init__(self, configured_maximum: int, close_idle_connection: Callable[[], None]) -> None:
+    def __init__(
+        self, configured_maximum: int, close_idle_connection: Callable[[], None], memory: MemoryBudget
+    ) -> None:
         """Take `close_idle_connection`, which is called at the maximum to make room for a new connection."""
+        self._memory = memory
         self.open_count = 0
         self.maximum = configured_maximum
         self._configured_maximum = configured_maximum
@@ -29,7 +36,9 @@
     def record_opened(self) -> None:
         """Count a new connection; to be called when it starts to connect."""
         self.open_count += 1
+        self._memory.add(MemoryUse.ENDPOINT_CONNECTIONS, ENDPOINT_CONNECTION_BYTES)
 
     def record_closed(self) -> None:
         """Subtract a closed connection; to be called once per connection."""
         self.open_count -= 1
+        self._memory.release(MemoryUse.ENDPOINT_CONNECTIONS, ENDPOINT_CONNECTION_BYTES)
--- a/qos_gateway/server/endpoints/connections.py
+++ b/qos_gateway/server/endpoints/connections.py
@@ -8,6 +8,8 @@
 
 from ...types import Outcome
 from ..config import Address
+from ..memory.budget import MemoryBudget
+from ..networking.read_size import READ_BUFFER_BYTES
 from ..observability.metrics import Metrics
 from .attempt import Attempt
 from .attempt_reporter import AttemptListener, AttemptReporter
@@ -45,6 +47,7 @@
         clock: Callable[[], int],
         attempt_listener: AttemptListener,
         metrics: Metrics,
+        memory: MemoryBudget,
     ) -> None:
         """Start the periodic sweep of idle connections; requires a running event loop.
 
@@ -59,9 +62,11 @@
             keep_alive=self.keep_alive,
             attempt_listener=attempt_listener,
             reporter=AttemptReporter(loop, attempt_listener, metrics),
+            memory=memory,
+            read_buffer=memoryview(bytearray(READ_BUFFER_BYTES)),
         )
         self._reporter = self.context.reporter
-        self._connection_limit = ConnectionLimit(limits.max_connections, self._close_idle_connection)
+        self._connection_limit = ConnectionLimit(limits.max_connections, self._close_idle_connection, memory)
         self._connect_timeout_s = limits.connect_timeout_s
         self._drain_grace_s = max(0.0, limits.drain_grace_s - MAX_PROCESS_PAUSE_S - LOOP_DELAY_MARGIN_S)
         self._pools: dict[int, ConnectionPool] = {}
@@ -148,7 +153,13 @@
             pool.start(attempt, attempt.started_at_ns)
 
     def expire_attempt(self, attempt: Attempt) -> None:
-        """End a timed-out attempt: as not executed if any byte is unsent, else as possibly executed."""
+        """End a timed-out attempt: as not executed if any byte is unsent, else as possibly executed.
+
+        An endpoint whose response the gateway does not read is not at fault.
+        """
+        if attempt.connection is not None and attempt.connection.is_paused:
+            self._close_and_finish(attempt, Outcome.CANCELLED)
+            return
         self._close_and_finish(
             attempt, Outcome.CONNECT_FAILED if self._is_unsent(attempt) else Outcome.TIMEOUT
         )
--- a/qos_gateway/server/endpoints/response_receiver.py
+++ b/qos_gateway/server/endpoints/response_receiver.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Callable
 
-import hiredis
-
 from ...types import Outcome
+from ..networking.message_parser import parse_message
 from ..networking.resp import ResponseFrames
 from ..networking.value_stream import FlowControl, ValueStream
 from .attempt import Attempt
@@ -16,7 +15,8 @@
 # A partly received response fails if no byte arrives for this long, far longer than a slow sender pauses.
 RESPONSE_STALL_TIMEOUT_S = 0.25
 LARGE_RESPONSE_STALL_TIMEOUT_S = 5.0  # longer, as no retry is possible once the client has received bytes
-EMPTY_VALUE_START = b"*3\r\n$0\r\n\r\n"  # fed to the parser in place of a streamed value
+BUFFER_GROWTH_FACTOR = 1.125  # by which a `bytearray` grows beyond its content
+EMPTY_VALUE_START = b"*3\r\n$0\r\n\r\n"  # parsed in place of a streamed value
 
 
 class ResponseReceiver:
@@ -27,8 +27,8 @@
         "_clock",
         "_frames",
         "_large_value_stream",
+        "_partial",
         "consumed_all_data",
-        "parser",
     )
 
     def __init__(self, clock: Callable[[], int], attempt_listener: AttemptListener) -> None:
@@ -37,7 +37,7 @@
         self._attempt_listener = attempt_listener
         self._frames = ResponseFrames()
         self._large_value_stream: ValueStream | None = None
-        self.parser = hiredis.Reader()
+        self._partial = bytearray()  # the received part of a response, without a streamed value
         self.consumed_all_data = True  # False if more data followed the last response or it was cancelled
 
     def receive(self, attempt: Attempt, data: bytes, flow: FlowControl) -> AttemptResult | None:
@@ -49,18 +49,36 @@
         response_end = frames.scan(data, 0)
         received = data if response_end < 0 else data[:response_end]
         if not frames.large_value_bytes:
-            self.parser.feed(received)
+            self._partial += received
         elif not self._stream_value(attempt, received, flow):
             self.consumed_all_data = False
             return AttemptResult.without_response(Outcome.CANCELLED)
         if response_end < 0:
             return None
-        result = attempt.read_response(self.parser.gets())
+        response = self._partial
+        self._partial = bytearray()
+        result = attempt.read_response(parse_message(response))
         self._large_value_stream = None
         frames.large_value_bytes = 0
         self.consumed_all_data = response_end == len(data)
         return result
 
+    @property
+    def held_bytes(self) -> int:
+        """The size of the received part of a response, without a streamed value."""
+        return len(self._partial)
+
+    @property
+    def expected_bytes(self) -> int:
+        """The memory of the incomplete response as far as it is known, without a streamed value."""
+        buffered_bytes = 0 if self._large_value_stream is not None else self._frames.missing_bytes
+        return int((len(self._partial) + buffered_bytes) * BUFFER_GROWTH_FACTOR)
+
+    @property
+    def value_missing_bytes(self) -> int:
+        """How many bytes of the value that is being received are missing."""
+        return self._frames.missing_bytes
+
     def has_partial_response(self) -> bool:
         """Return whether part of a response has been received."""
         return self._frames.is_midway
@@ -82,12 +100,11 @@
             self._large_value_stream = self._start_stream(attempt, flow)
             if self._large_value_stream is None:
                 return False
-        self.parser.feed(self._large_value_stream.feed(data[value_start:]))
+        self._partial += self._large_value_stream.feed(data[value_start:])
         return not attempt.ended  # the write may have detected that the client is gone
 
     def _start_stream(self, attempt: Attempt, flow: FlowControl) -> ValueStream | None:
-        self.parser = hiredis.Reader()
-        self.parser.feed(EMPTY_VALUE_START)
+        self._partial = bytearray(EMPTY_VALUE_START)
         attempt.response_started_at_ns = self._clock()
         length = self._frames.large_value_bytes
         sink = self._attempt_listener.on_response_started(attempt, length, flow)
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -8,6 +8,7 @@
 from ..units import MILLISECOND, SECOND
 from .config import Config, keys_requiring_restart
 from .discovery.endpoint_feed import FIRST_LIST_TIMEOUT_S, SOCKET_POLL_INTERVAL_S
+from .memory.process_memory import ProcessMemory
 from .networking.transient_errors import retry_transient
 from .observability.activity_log import ActivityGauges
 from .start_guard import check_start, check_stop
@@ -25,10 +26,13 @@
 class GatewayProcess:
     """One running gateway."""
 
-    def __init__(self, config: Config) -> None:
-        """Build all parts; nothing is opened before `start`."""
+    def __init__(self, config: Config, process_memory: ProcessMemory | None = None) -> None:
+        """Build all parts; nothing is opened before `start`.
+
+        Without `process_memory` the memory that peers cause is counted, and not compared with the process's.
+        """
         self.config = config
-        self.parts = build_parts(config)
+        self.parts = build_parts(config, process_memory)
 
     def is_ready(self) -> bool:
         """Return whether any endpoint takes requests."""
@@ -56,6 +60,8 @@
         await self._read_from_discovery()
         invariants, engine = parts.observability.invariants, parts.dispatcher.engine
         check_start(invariants, engine.started, parts.discovery.has_unread_data())
+        if parts.memory_monitor is not None:
+            parts.memory_monitor.start()
         await parts.clients.start()
         if services.handover_channel is not None:
             await services.handover_channel.listen()
@@ -68,6 +74,17 @@
             client_connections=clients.connection_count,
             endpoint_connections=lambda: connections.open_connections,
             idle_endpoint_connections=connections.idle_count,
+            memory=self._memory_summary,
+        )
+
+    def _memory_summary(self) -> str:
+        """Return what holds how much memory, for the log."""
+        parts = self.parts
+        held = ",".join(f"{use.value}:{size}" for use, size in parts.memory.held.items() if size)
+        resident = 0 if parts.memory_monitor is None else parts.memory_monitor.resident_bytes()
+        return (
+            f"memory_resident={resident} memory_capacity={parts.memory.capacity_bytes} "
+            f"memory_waiting={parts.memory.waiting_count()} memory_held={held or 'none'}"
         )
 
     async def _read_from_discovery(self) -> None:
@@ -104,6 +121,8 @@
     def _close_services(self) -> None:
         parts, services = self.parts, self.parts.services
         parts.peers.close()
+        if parts.memory_monitor is not None:
+            parts.memory_monitor.close()
         if parts.counter is not None:
             parts.counter.close()
         if services.admin_server is not None:
--- a/qos_gateway/server/networking/resp.py
+++ b/qos_gateway/server/networking/resp.py
@@ -71,6 +71,16 @@
         """Whether a message is partly received."""
         return bool(self._array_elements_left or self._partial or self._value_bytes_left >= 0)
 
+    @property
+    def missing_bytes(self) -> int:
+        """How many bytes of the value that is being received are missing, with its CR LF."""
+        return 0 if self._value_bytes_left < 0 else self._value_bytes_left + CRLF_BYTES
+
+    @property
+    def is_in_last_element(self) -> bool:
+        """Whether the last element of a message is being received."""
+        return all(count == 1 for count in self._array_elements_left)
+
     def scan(self, data: bytes, start: int) -> int:
         """Return the end in `data` of the message that begins or continues at `start`, or `INCOMPLETE`.
 
--- a/qos_gateway/server/observability/activity_log.py
+++ b/qos_gateway/server/observability/activity_log.py
@@ -17,12 +17,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ActivityGauges:
-    """Callables that return the current number of requests or connections."""
+    """Callables that return the current number of requests or connections, and what holds memory."""
 
     open_requests: Callable[[], int]
     client_connections: Callable[[], int]
     endpoint_connections: Callable[[], int]
     idle_endpoint_connections: Callable[[], int]
+    memory: Callable[[], str]
 
 
 class ActivityLog:
@@ -47,13 +48,14 @@
         self.start(gauges)
         log.info(
             "activity attempts=%s counter=%s requests=%d client_connections=%d "
-            "endpoint_connections=%d endpoint_connections_idle=%d",
+            "endpoint_connections=%d endpoint_connections_idle=%d %s",
             _format_outcomes(self.attempt_outcomes),
             _format_outcomes(self.counter_outcomes),
             gauges.open_requests(),
             gauges.client_connections(),
             gauges.endpoint_connections(),
             gauges.idle_endpoint_connections(),
+            gauges.memory(),
         )
         self.attempt_outcomes.clear()
         self.counter_outcomes.clear()
--- a/qos_gateway/server/observability/metrics.py
+++ b/qos_gateway/server/observability/metrics.py
@@ -12,6 +12,7 @@
 from ...types import RejectReason
 from .close_reasons import CloseReason
 from .invariants import Invariant
+from .memory_uses import MemoryUse
 from .retry_causes import RetryCause
 
 LabelT = TypeVar("LabelT", bound=Enum)
@@ -54,6 +55,10 @@
     open_requests: int
     listed_endpoints: int
     excluded_endpoints: int
+    memory_held: Mapping[MemoryUse, int]  # bytes
+    memory_capacity: int  # bytes
+    memory_waiting: int  # connections
+    memory_resident: int  # bytes; 0 where it is not measured
 
 
 def render(metrics: Metrics, gauges: Gauges) -> bytes:
@@ -69,6 +74,15 @@
         f"{MetricName.PREFIX}.{MetricName.LISTED_ENDPOINTS}:{gauges.listed_endpoints}|g",
         f"{MetricName.PREFIX}.{MetricName.EXCLUDED_ENDPOINTS}:{gauges.excluded_endpoints}|g",
     ]
+    lines += [
+        f"{MetricName.PREFIX}.{MetricName.MEMORY_RESIDENT}:{gauges.memory_resident}|g",
+        f"{MetricName.PREFIX}.{MetricName.MEMORY_CAPACITY}:{gauges.memory_capacity}|g",
+        f"{MetricName.PREFIX}.{MetricName.MEMORY_WAITING}:{gauges.memory_waiting}|g",
+    ]
+    lines += [
+        f"{MetricName.PREFIX}.{MetricName.MEMORY_HELD}.{use.value}:{size}|g"
+        for use, size in gauges.memory_held.items()
+    ]
     lines += _render_counters(MetricName.REJECTIONS, metrics.rejections)
     lines += _render_counters(MetricName.RETRIES, metrics.retries)
     lines += _render_counters(MetricName.CLIENT_CLOSES, metrics.client_closes)
--- a/qos_gateway/server/requests/attempt_results.py
+++ b/qos_gateway/server/requests/attempt_results.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
-from typing import cast
-
 from ...edge_names import LoadReportName
-from ...types import AttemptEnded, Outcome, ProbeEnded, ResponseStarted
-from ..clients.streamed_reply import StreamedReply
+from ...types import (
+    AttemptEnded,
+    ClientDisconnected,
+    Idempotence,
+    Outcome,
+    ProbeEnded,
+    RejectReason,
+    ResponseStarted,
+)
+from ..clients.streamed_reply import VALUE_END, StreamedReply
 from ..endpoints.attempt import Attempt, ProbeAttempt
 from ..endpoints.responses import AttemptResult, LoadReport
+from ..memory.budget import Priority
 from ..networking.value_stream import FlowControl
 from ..observability.activity_log import ActivityLog
 from ..observability.metrics import RequestResult
-from .final_replies import FAILED_REPLY
+from .final_replies import FAILED_REPLY, REJECTED_REPLY
 from .open_request import OpenRequest
 from .request_context import RequestContext
 from .send_guard import SendGuard
@@ -25,6 +32,8 @@
 
     def __init__(self, context: RequestContext, send_guard: SendGuard, activity: ActivityLog) -> None:
         self._report_names = context.settings.report_names
+        self._request_classes = context.settings.classes
+        self._metrics = context.metrics
         self._clock = context.clock
         self._requests = context.requests
         self._handle = context.dispatcher.handle
@@ -36,6 +45,30 @@
         request = self._requests.get(attempt.request)
         return request is None or not self._requests.client_has_disconnected(request)
 
+    def memory_priority(self, attempt: Attempt) -> Priority | None:
+        """Return the priority of the memory for a response, None if it is no longer needed."""
+        request = self._requests.get(attempt.request)
+        if request is None or request.closed:
+            return None
+        return request.pending_reply.client.memory_priority(request.pending_reply)
+
+    def on_response_without_memory(self, attempt: Attempt) -> None:
+        """End a request whose response cannot be received, as there is no memory for it.
+
+        The client may repeat a request that is idempotent.
+        """
+        number = attempt.request
+        request = self._requests.get_unanswered(number)
+        if request is None:
+            return
+        request_class = self._request_classes[request.class_index]
+        if request_class.idempotence is Idempotence.IDEMPOTENT:
+            self._metrics.rejections[RejectReason.MEMORY_LIMIT] += 1
+            self._requests.answer(number, request, REJECTED_REPLY, RequestResult.REJECTED)
+        else:
+            self._requests.answer(number, request, FAILED_REPLY, RequestResult.FAILED)
+        self._handle(ClientDisconnected(number))
+
     def allows_send(self, attempt: Attempt, is_drained: bool, now: int) -> bool:
         """Return whether the send guard allows writing an attempt at `now`, in ns."""
         request = None if isinstance(attempt, ProbeAttempt) else self._requests.get(attempt.request)
@@ -71,8 +104,8 @@
         number = attempt.request
         request = self._requests[number]
         request.attempts_in_flight_by_number.pop(attempt.number, None)
-        if request.streaming_attempt is attempt:
-            elapsed = _time_to_first_byte(attempt)  # the rest depends on how fast the client reads
+        if attempt.response_started_at_ns:
+            elapsed = _time_to_first_byte(attempt)  # the rest depends on the client, and on memory
         if not request.closed:
             self._answer_with(request, attempt, outcome, value)
         event = AttemptEnded(
@@ -101,8 +134,7 @@
             if request.streaming_attempt is not attempt:
                 return
             if outcome is Outcome.OK:
-                stream = cast(StreamedReply, request.pending_reply.stream)
-                self._requests.answer(number, request, stream.finish(), RequestResult.SERVED)
+                self._requests.answer(number, request, VALUE_END, RequestResult.SERVED)
             else:
                 self._requests.answer(number, request, FAILED_REPLY, RequestResult.FAILED)
         elif outcome is Outcome.OK and value is not None:
--- a/qos_gateway/server/requests/client_requests.py
+++ b/qos_gateway/server/requests/client_requests.py
@@ -6,13 +6,15 @@
 
 from ...types import Arrival, ClientDisconnected, RejectReason
 from ..clients.pending_replies import PendingReply
-from ..clients.request_parser import ClientRequest
+from ..clients.request_parser import ClientRequest, InvalidCommandError
 from ..endpoints.attempt import Attempt
+from ..memory.budget import MemoryBudget
 from ..observability.metrics import RequestResult
 from .final_replies import REJECTED_REPLY
 from .request_context import RequestContext
 from .request_deadlines import RequestDeadlines
 from .request_log import log_rejection
+from .request_memory import RequestMemory
 
 
 class CancellableAttempts(Protocol):
@@ -32,8 +34,13 @@
     """Handles the callbacks of the connections to clients."""
 
     def __init__(
-        self, context: RequestContext, deadlines: RequestDeadlines, attempts: CancellableAttempts
+        self,
+        context: RequestContext,
+        deadlines: RequestDeadlines,
+        attempts: CancellableAttempts,
+        memory: MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._requests = context.requests
         self._deadlines = deadlines
         self._attempts = attempts
@@ -47,10 +54,19 @@
     def submit(self, client_request: ClientRequest, pending_reply: PendingReply, waited_s: float) -> None:
         """Open a request that was received `waited_s` ago, and pass it to the engine.
 
-        Raises `InvalidCommandError` while another request with the same id is unanswered.
+        It is rejected if there is no memory for it. Raises `InvalidCommandError` while another request with
+        the same id is unanswered.
         """
+        memory = RequestMemory(self._memory)
+        if not memory.reserve(client_request.command.body, pending_reply):
+            self._reject(client_request, pending_reply, RejectReason.MEMORY_LIMIT)
+            return
         deadline = self._deadlines.deadline_for(client_request, waited_s)
-        number = self._requests.add(client_request, pending_reply, deadline)
+        try:
+            number = self._requests.add(client_request, pending_reply, deadline, memory)
+        except InvalidCommandError:
+            memory.release()
+            raise
         arrival = Arrival(
             request_id=number,
             class_index=client_request.class_index,
@@ -69,8 +85,13 @@
 
     def shed(self, client_request: ClientRequest, pending_reply: PendingReply) -> None:
         """Reject a request over the gateway's limits without passing it to the engine."""
-        log_rejection(client_request.request_id, RejectReason.LOAD_LIMIT, 0)
-        self._metrics.rejections[RejectReason.LOAD_LIMIT] += 1
+        self._reject(client_request, pending_reply, RejectReason.LOAD_LIMIT)
+
+    def _reject(
+        self, client_request: ClientRequest, pending_reply: PendingReply, reason: RejectReason
+    ) -> None:
+        log_rejection(client_request.request_id, reason, 0)
+        self._metrics.rejections[reason] += 1
         self._metrics.count_request(client_request.class_index, RequestResult.REJECTED)
         pending_reply.client.reply(pending_reply, REJECTED_REPLY)
 
--- a/qos_gateway/server/requests/open_request.py
+++ b/qos_gateway/server/requests/open_request.py
@@ -7,6 +7,7 @@
 from ..clients.pending_replies import PendingReply
 from ..clients.request_parser import ClientRequest
 from ..endpoints.attempt import Attempt
+from .request_memory import RequestMemory
 
 
 class OpenRequest:
@@ -20,12 +21,20 @@
         "closed",
         "deadline",
         "deadline_timer",
+        "memory",
         "pending_reply",
         "streaming_attempt",
     )
 
-    def __init__(self, client_request: ClientRequest, pending_reply: PendingReply, deadline: int) -> None:
-        """Take `deadline` in ns on the gateway's clock."""
+    def __init__(
+        self,
+        client_request: ClientRequest,
+        pending_reply: PendingReply,
+        deadline: int,
+        memory: RequestMemory,
+    ) -> None:
+        """Take `deadline` in ns on the gateway's clock, and the memory that the request holds."""
+        self.memory = memory
         self.client_request = client_request
         self.pending_reply = pending_reply
         self.deadline = deadline
--- a/qos_gateway/server/requests/open_requests.py
+++ b/qos_gateway/server/requests/open_requests.py
@@ -10,6 +10,7 @@
 from ..observability.close_reasons import CloseReason
 from ..observability.metrics import Metrics, RequestResult
 from .open_request import OpenRequest
+from .request_memory import RequestMemory
 
 
 class OpenRequests:
@@ -65,8 +66,14 @@
         self._loop.call_soon(client.abort, CloseReason.HANGUP_SEEN)
         return True
 
-    def add(self, client_request: ClientRequest, pending_reply: PendingReply, deadline: int) -> int:
-        """Add a request with a deadline in ns, and return its number.
+    def add(
+        self,
+        client_request: ClientRequest,
+        pending_reply: PendingReply,
+        deadline: int,
+        memory: RequestMemory,
+    ) -> int:
+        """Add a request with a deadline in ns and the memory that it holds, and return its number.
 
         Raises `InvalidCommandError` while another request with the same id is unanswered.
         """
@@ -75,7 +82,7 @@
         number = next(self._numbers)
         self._open_ids.add(client_request.request_id)
         pending_reply.request_number = number
-        self._requests[number] = OpenRequest(client_request, pending_reply, deadline)
+        self._requests[number] = OpenRequest(client_request, pending_reply, deadline, memory)
         return number
 
     def answer(self, number: int, request: OpenRequest, reply: bytes, result: RequestResult) -> None:
@@ -103,4 +110,5 @@
         if request.closed and not request.attempts_in_flight_by_number:
             if request.deadline_timer is not None:
                 request.deadline_timer.cancel()
+            request.memory.release()
             self._requests.pop(number, None)
--- a/qos_gateway/server/wiring.py
+++ b/qos_gateway/server/wiring.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..decisions.engine import DecisionEngine
@@ -23,6 +24,10 @@
 from .endpoints.connections import EndpointConnections, EndpointLimits
 from .event_dispatcher import EventDispatcher
 from .handover.handover import Handover, SharedComponents
+from .memory.budget import ConnectionLimits, MemoryBudget
+from .memory.limits import NOMINAL_AT_REST_BYTES, MemoryLimits
+from .memory.monitor import MemoryMonitor
+from .memory.process_memory import ProcessMemory
 from .networking.clock import make_monotonic_unix_clock
 from .observability.activity_log import ActivityLog
 from .observability.invariants import InvariantMonitor
@@ -72,6 +77,8 @@
     """The parts of one gateway, connected to each other; nothing is opened yet."""
 
     clock: Callable[[], int]  # ns
+    memory: MemoryBudget
+    memory_monitor: MemoryMonitor | None  # None where the memory of the process is not measured
     observability: Observability
     dispatcher: EventDispatcher
     executor: ActionExecutor
@@ -92,23 +99,25 @@
     """The parts that need no connections; most other parts take some of them."""
 
     config: Config
+    memory_limits: MemoryLimits
+    memory: MemoryBudget
     observability: Observability
     context: RequestContext
 
 
-def build_parts(config: Config) -> GatewayParts:
+def build_parts(config: Config, process_memory: ProcessMemory | None) -> GatewayParts:
     """Build all parts of a gateway, and apply the endpoint list of the configuration.
 
-    A running event loop is needed.
+    Without `process_memory` the memory at rest is a nominal one. A running event loop is needed.
     """
-    core = _build_core(config)
+    core = _build_core(config, process_memory)
     clock, dispatcher = core.context.clock, core.context.dispatcher
-    max_connections = max(MIN_CONNECTIONS, config.max_descriptors - RESERVED_DESCRIPTORS)
-    max_endpoint_connections = int(max_connections * ENDPOINT_CONNECTION_FRACTION)
-    connections = _build_endpoint_connections(core, max_endpoint_connections)
+    limits = _connection_limits(config, core.memory_limits)
+    core.memory.set_connection_limits(limits)
+    connections = _build_endpoint_connections(core, limits.endpoints)
     directory = EndpointDirectory(connections)
     deadlines = RequestDeadlines(core.context, connections)
-    clients = _build_clients(core, deadlines, connections, max_connections - max_endpoint_connections)
+    clients = _build_clients(core, deadlines, connections, limits.clients)
     peers = Peers(config.peers, config.peer_broadcast, config.settings.position, dispatcher.handle)
     counter = _build_counter(core)
     executor = _build_executor(core, connections, directory, peers, counter)
@@ -126,8 +135,11 @@
         dispatcher,
         feed.apply,
     )
+    memory_monitor = _build_memory_monitor(core, process_memory)
     return GatewayParts(
         clock=clock,
+        memory=core.memory,
+        memory_monitor=memory_monitor,
         observability=core.observability,
         dispatcher=dispatcher,
         executor=executor,
@@ -140,24 +152,47 @@
         peers=peers,
         counter=counter,
         discovery=discovery,
-        services=_build_services(core, clients, directory, handover),
+        services=_build_services(core, clients, directory, handover, memory_monitor),
     )
 
 
-def _build_core(config: Config) -> _Core:
+def _connection_limits(config: Config, memory: MemoryLimits) -> ConnectionLimits:
+    """Divide the descriptors between clients and endpoints, as far as there is memory for both."""
+    total = max(MIN_CONNECTIONS, config.max_descriptors - RESERVED_DESCRIPTORS)
+    endpoints = int(total * ENDPOINT_CONNECTION_FRACTION)
+    return ConnectionLimits(
+        clients=min(total - endpoints, memory.max_client_connections),
+        endpoints=min(endpoints, memory.max_endpoint_connections),
+    )
+
+
+def _build_memory_monitor(core: _Core, process_memory: ProcessMemory | None) -> MemoryMonitor | None:
+    if process_memory is None:
+        return None
+    accounts = core.context.dispatcher.engine.quota.accounts
+    return MemoryMonitor(core.memory, core.memory_limits, process_memory, accounts.__len__)
+
+
+def _build_core(config: Config, process_memory: ProcessMemory | None) -> _Core:
+    at_rest_bytes = NOMINAL_AT_REST_BYTES if process_memory is None else process_memory.resident_bytes()
+    limits = MemoryLimits(limit_bytes=config.memory_bytes, at_rest_bytes=at_rest_bytes)
+    settings = replace(config.settings, max_customers=limits.max_customers)
+    memory = MemoryBudget(limits.capacity_bytes, asyncio.get_running_loop().call_soon)
     clock = make_monotonic_unix_clock()
     invariants = InvariantMonitor()
     metrics = Metrics(config.classes, invariants.violations)
-    engine = DecisionEngine(config.settings, config.seed, clock())
+    engine = DecisionEngine(settings, config.seed, clock())
     context = RequestContext(
-        settings=config.settings,
+        settings=settings,
         clock=clock,
         requests=OpenRequests(metrics),
         dispatcher=EventDispatcher(engine, clock),
         metrics=metrics,
     )
     observability = Observability(invariants=invariants, metrics=metrics, activity=ActivityLog())
-    return _Core(config=config, observability=observability, context=context)
+    return _Core(
+        config=config, memory_limits=limits, memory=memory, observability=observability, context=context
+    )
 
 
 def _build_endpoint_connections(core: _Core, max_connections: int) -> EndpointConnections:
@@ -169,16 +204,16 @@
         max_idle_s=config.connection_idle / SECOND,
         drain_grace_s=config.settings.drain_grace / SECOND,
     )
-    return EndpointConnections(limits, core.context.clock, results, observability.metrics)
+    return EndpointConnections(limits, core.context.clock, results, observability.metrics, core.memory)
 
 
 def _build_clients(
     core: _Core, deadlines: RequestDeadlines, connections: EndpointConnections, max_connections: int
 ) -> ClientConnections:
     context = core.context
-    client_requests = ClientRequests(context, deadlines, connections)
+    client_requests = ClientRequests(context, deadlines, connections, core.memory)
     close_guard = CloseGuard(core.observability.invariants, context.metrics, context.requests.client_id)
-    return ClientConnections(core.config, client_requests, max_connections, close_guard)
+    return ClientConnections(core.config, client_requests, max_connections, close_guard, core.memory)
 
 
 def _build_counter(core: _Core) -> CounterClient | None:
@@ -239,7 +274,11 @@
 
 
 def _build_services(
-    core: _Core, clients: ClientConnections, directory: EndpointDirectory, handover: Handover
+    core: _Core,
+    clients: ClientConnections,
+    directory: EndpointDirectory,
+    handover: Handover,
+    memory_monitor: MemoryMonitor | None,
 ) -> Services:
     config = core.config
     handover_channel = _build_handover_channel(config, handover)
@@ -248,6 +287,8 @@
         requests=core.context.requests,
         endpoint_directory=directory,
         metrics=core.observability.metrics,
+        memory=core.memory,
+        memory_monitor=memory_monitor,
         load_balancer=core.context.dispatcher.engine.load_balancer,
         handover=handover,
         other_process=handover_channel,
--- a/qos_gateway/types/actions.py
+++ b/qos_gateway/types/actions.py
@@ -23,6 +23,7 @@
     UNSPECIFIED = "unspecified"
     CUSTOMER_CAP = "customer_cap"  # the customer's limit on requests in flight is reached
     CUSTOMER_LIMIT = "customer_limit"  # the customer is new, and the state of no other one can be dropped
+    MEMORY_LIMIT = "memory_limit"  # there is no memory for the request
     LOAD_LIMIT = "load_limit"  # the limit on all requests in flight is reached
     QUOTA = "quota"  # the customer's quota is used up
     NO_ENDPOINT = "no_endpoint"  # no endpoint is usable, or the deadline is too close
--- a/soak/mutants/attempts.py
+++ b/soak/mutants/attempts.py
@@ -26,8 +26,9 @@
     """Change the customer's number in the commands to order servers."""
     payload = Attempt.payload
 
-    def alter(self: Attempt, now_ns: int) -> bytes:
+    def alter(self: Attempt, now_ns: int) -> tuple[bytes, ...]:
         customer = self.command.start[1]
-        return payload(self, now_ns).replace(customer, customer.upper().replace(b"0", b"F"), 1)
+        head, *body = payload(self, now_ns)
+        return head.replace(customer, customer.upper().replace(b"0", b"F"), 1), *body
 
     patch(Attempt, "payload", alter)
--- a/soak/mutants/processes.py
+++ b/soak/mutants/processes.py
@@ -53,6 +53,7 @@
     patch(connection_input, "SLICE_TIME_S", UNREACHED_TIMEOUT_S)
     patch(InputScheduler, "has_time", always_true)
     patch(connections, "READ_BUFFER_BYTES", UNBOUNDED_READ_BYTES)
+    patch(connection_input, "read_size_bytes", lambda _: UNBOUNDED_READ_BYTES)
 
 
 def stop_serving() -> None:
