A request whose id comes again is not executed twice

Symptom: a client wrote 200 payments and left; the same ids on a new connection 0.15 s later ran again: 139 and 200 of 200 (test_repeated_ids). Cause: an id was known only while its request was unanswered. When the client leaves, the request is closed, and what it has sent runs on. It fails with an error, as -BUSY would promise that it did not run. Change: ids of requests that may have run, of classes that may not simply be repeated, are remembered for 5 to 10 s, as hashes and up to a number that follows from the memory limit; the oldest are forgotten first.

--- a/qos_gateway/server/memory/limits.py
+++ b/qos_gateway/server/memory/limits.py
@@ -13,11 +13,13 @@
 CLIENT_CONNECTION_BYTES = 4352
 ENDPOINT_CONNECTION_BYTES = 4352
 REQUEST_BYTES = 3 << 10  # an open request with its first attempt, apart from its body
+REMEMBERED_ID_BYTES = 80
 CUSTOMER_BYTES = 1400  # an account with its commitment
 # Fractions of the capacity that these may use at most; the remainder is always left to data.
 CLIENT_CONNECTIONS_FRACTION = 0.4
 ENDPOINT_CONNECTIONS_FRACTION = 0.15
 CUSTOMERS_FRACTION = 0.15
+REMEMBERED_IDS_FRACTION = 0.03
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,3 +48,8 @@
     def max_customers(self) -> int:
         """The number of customers with state at most."""
         return int(self.capacity_bytes * CUSTOMERS_FRACTION) // CUSTOMER_BYTES
+
+    @property
+    def max_remembered_ids(self) -> int:
+        """The number of ids of executed requests that are remembered at most."""
+        return int(self.capacity_bytes * REMEMBERED_IDS_FRACTION) // REMEMBERED_ID_BYTES
--- a/qos_gateway/server/requests/open_requests.py
+++ b/qos_gateway/server/requests/open_requests.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from itertools import count
 
 from ..clients.pending_replies import PendingReply
 from ..clients.request_parser import ClientRequest, InvalidCommandError
 from ..observability.close_reasons import CloseReason
 from ..observability.metrics import Metrics, RequestResult
+from .executed_requests import ExecutedRequests
 from .open_request import OpenRequest
 from .request_memory import RequestMemory
 
@@ -19,8 +21,11 @@
     Each gets at most one final response, and none once its client has disconnected.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, executed: ExecutedRequests, clock: Callable[[], int]) -> None:
+        """Take the gateway's clock, in ns."""
         self._metrics = metrics
+        self._executed = executed
+        self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._numbers = count(1)
         self._requests: dict[int, OpenRequest] = {}
@@ -75,10 +80,13 @@
     ) -> int:
         """Add a request with a deadline in ns and the memory that it holds, and return its number.
 
-        Raises `InvalidCommandError` while another request with the same id is unanswered.
+        Raises `InvalidCommandError` while another request with the same id is unanswered, and if the same
+        request may have been executed before and may not be repeated.
         """
         if client_request.request_id in self._open_ids:
             raise InvalidCommandError("a request with this id is open")
+        if self._executed.may_have_executed(client_request):
+            raise InvalidCommandError("a request with this id may have been executed")
         number = next(self._numbers)
         self._open_ids.add(client_request.request_id)
         pending_reply.request_number = number
@@ -98,6 +106,7 @@
     def close(self, number: int, request: OpenRequest) -> None:
         """Mark a request as closed: it gets no further response."""
         request.closed = True
+        self._executed.add(request, self._clock())
         self._open_ids.discard(request.client_request.request_id)
         self.remove_if_finished(number, request)
 
--- a/qos_gateway/server/wiring.py
+++ b/qos_gateway/server/wiring.py
@@ -35,6 +35,7 @@
 from .peers import Peers
 from .requests.attempt_results import AttemptResults
 from .requests.client_requests import ClientRequests
+from .requests.executed_requests import ExecutedRequests
 from .requests.final_actions import FinalActions
 from .requests.open_requests import OpenRequests
 from .requests.repeat_guard import RepeatGuard
@@ -185,7 +186,7 @@
     context = RequestContext(
         settings=settings,
         clock=clock,
-        requests=OpenRequests(metrics),
+        requests=OpenRequests(metrics, ExecutedRequests(settings.classes, limits.max_remembered_ids), clock),
         dispatcher=EventDispatcher(engine, clock),
         metrics=metrics,
     )
