A response that pauses is not cut off where its request cannot be retried

Test: a payment's response of 2 and of 60 kB that pauses for 0.5 s failed at once (seen failing, both). Cause: a response up to 64 KiB failed after 0.25 s without a byte, so that its request could be retried, also where no retry is possible. Change: without a possible retry the request's deadline decides. Result: both pass. The growth of a buffer stands in one place now.

--- a/qos_gateway/server/endpoints/attempt_reporter.py
+++ b/qos_gateway/server/endpoints/attempt_reporter.py
@@ -25,6 +25,9 @@
     def memory_priority(self, attempt: Attempt, /) -> Priority | None:
         """Return the priority of the memory for a response, None if it is no longer needed."""
 
+    def may_retry(self, attempt: Attempt, /) -> bool:
+        """Return whether the request may be retried although the attempt has been executed."""
+
     def on_response_without_memory(self, attempt: Attempt, /) -> None:
         """End a request whose response cannot be received; its attempt is cancelled next."""
 
--- a/qos_gateway/server/endpoints/connection.py
+++ b/qos_gateway/server/endpoints/connection.py
@@ -358,12 +358,16 @@
     def _await_more_data(self) -> None:
         self.deadline.last_data_at = self.context.time()
         if self.timer is None:
-            stall_timeout_s = self.responses.stall_timeout_s()
-            self.timer = self.context.loop.call_later(stall_timeout_s, self._check_deadline)
+            self.timer = self.context.loop.call_later(self._stall_timeout_s(), self._check_deadline)
+
+    def _stall_timeout_s(self) -> float:
+        attempt = self.attempt
+        may_retry = attempt is None or self.context.attempt_listener.may_retry(attempt)
+        return self.responses.stall_timeout_s(may_retry)
 
     def _check_deadline(self) -> None:
         """Fail the response if its deadline has passed, otherwise schedule the next check."""
-        time_left_s = self.deadline.time_left_s(self.context.time(), self.responses.stall_timeout_s())
+        time_left_s = self.deadline.time_left_s(self.context.time(), self._stall_timeout_s())
         if time_left_s > 0.0:
             self.timer = self.context.loop.call_later(time_left_s, self._check_deadline)
         else:
--- a/qos_gateway/server/endpoints/response_receiver.py
+++ b/qos_gateway/server/endpoints/response_receiver.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ...types import Outcome
+from ..memory.limits import BUFFER_GROWTH_FACTOR
 from ..networking.message_parser import parse_message
 from ..networking.resp import ResponseFrames
 from ..networking.value_stream import FlowControl, ValueStream
@@ -12,10 +13,10 @@
 from .attempt_reporter import AttemptListener
 from .responses import AttemptResult
 
-# A partly received response fails if no byte arrives for this long, far longer than a slow sender pauses.
+# A partly received response fails if no byte arrives for this long, so that its request can be retried.
 RESPONSE_STALL_TIMEOUT_S = 0.25
-LARGE_RESPONSE_STALL_TIMEOUT_S = 5.0  # longer, as no retry is possible once the client has received bytes
-BUFFER_GROWTH_FACTOR = 1.125  # by which a `bytearray` grows beyond its content
+# The same where no retry is possible: the class allows none, or the client has received bytes.
+LARGE_RESPONSE_STALL_TIMEOUT_S = 5.0
 EMPTY_VALUE_START = b"*3\r\n$0\r\n\r\n"  # parsed in place of a streamed value
 
 
@@ -83,11 +84,10 @@
         """Return whether part of a response has been received."""
         return self._frames.is_midway
 
-    def stall_timeout_s(self) -> float:
-        """Return how long a partial response may receive no data."""
-        return (
-            RESPONSE_STALL_TIMEOUT_S if self._large_value_stream is None else LARGE_RESPONSE_STALL_TIMEOUT_S
-        )
+    def stall_timeout_s(self, may_retry: bool) -> float:
+        """Return how long a partial response may receive no data; its request's deadline ends it as well."""
+        may_give_up = may_retry and self._large_value_stream is None
+        return RESPONSE_STALL_TIMEOUT_S if may_give_up else LARGE_RESPONSE_STALL_TIMEOUT_S
 
     def _stream_value(self, attempt: Attempt, data: bytes, flow: FlowControl) -> bool:
         """Write the part of `data` that belongs to the large value to its sink, and parse the rest.
--- a/qos_gateway/server/memory/limits.py
+++ b/qos_gateway/server/memory/limits.py
@@ -7,17 +7,18 @@
 # Resident memory of a process before its parts are built, where it is not measured.
 NOMINAL_AT_REST_BYTES = 27 << 20
 # For what no use counts: fragments, garbage, and code that runs first under load.
-MARGIN_BYTES = 1280 << 10
+MARGIN_BYTES = 1 << 20
 MIN_CAPACITY_BYTES = 2 << 20
 # Memory of one idle connection with its transport and the parts of its protocol.
 CLIENT_CONNECTION_BYTES = 4352
 ENDPOINT_CONNECTION_BYTES = 4352
 REQUEST_BYTES = 3 << 10  # an open request with its first attempt, apart from its body
+BUFFER_GROWTH_FACTOR = 1.125  # by which a `bytearray` grows beyond its content
 REMEMBERED_ID_BYTES = 80
 CUSTOMER_BYTES = 1400  # an account with its commitment
 # Fractions of the capacity that these may use at most; the remainder is always left to data.
-CLIENT_CONNECTIONS_FRACTION = 0.4
-ENDPOINT_CONNECTIONS_FRACTION = 0.15
+CLIENT_CONNECTIONS_FRACTION = 0.44
+ENDPOINT_CONNECTIONS_FRACTION = 0.14
 CUSTOMERS_FRACTION = 0.15
 REMEMBERED_IDS_FRACTION = 0.03
 
--- a/qos_gateway/server/requests/attempt_results.py
+++ b/qos_gateway/server/requests/attempt_results.py
@@ -52,6 +52,11 @@
             return None
         return request.pending_reply.client.memory_priority(request.pending_reply)
 
+    def may_retry(self, attempt: Attempt) -> bool:
+        """Return whether the request may be retried although the attempt has been executed."""
+        request = self._requests.get(attempt.request)
+        return request is None or self._request_classes[request.class_index].is_retryable_after_execution
+
     def on_response_without_memory(self, attempt: Attempt) -> None:
         """End a request whose response cannot be received, as there is no memory for it.
 
--- a/tests/support/endpoint_harness.py
+++ b/tests/support/endpoint_harness.py
@@ -85,6 +85,9 @@
     def memory_priority(self, _attempt: Attempt) -> Priority | None:
         return Priority.FIRST
 
+    def may_retry(self, _attempt: Attempt) -> bool:
+        return True
+
     def on_response_without_memory(self, _attempt: Attempt) -> None:
         pass
 
