--- a/qos_gateway/server/clients/command_reader.py
+++ b/qos_gateway/server/clients/command_reader.py
@@ -7,12 +7,13 @@
 
 import hiredis
 
+from ..memory.limits import BUFFER_GROWTH_FACTOR
 from ..networking.message_parser import parse_message
 from ..networking.resp import MAX_COMMAND_BYTES, CommandFrames, FrameError
 
+DISCARDED: list[bytes] = []  # in place of a command's arguments, of which there is at least one
 # An incomplete command up to this size is counted with its connection.
 SMALL_COMMAND_BYTES = 512
-BUFFER_GROWTH_FACTOR = 1.125  # by which a `bytearray` grows beyond its content
 
 
 class CommandSyntaxError(ValueError):
@@ -22,12 +23,13 @@
 class CommandReader:
     """Splits a client's bytes into commands, which may arrive in several reads."""
 
-    __slots__ = ("_frames", "_partial", "_time", "command_end", "partial_since_s")
+    __slots__ = ("_frames", "_is_discarding", "_partial", "_time", "command_end", "partial_since_s")
 
     def __init__(self, time: Callable[[], float]) -> None:
         self._time = time
         self._frames = CommandFrames()
         self._partial = bytearray()  # the received part of an incomplete command
+        self._is_discarding = False  # the bytes of the incomplete command are dropped
         self.command_end = 0  # position after the last command, in the data that contained its end
         # Time at which the first byte of an incomplete command was read, or its timeout last restarted; 0 if
         # there is no such command or its timeout is cancelled.
@@ -53,6 +55,8 @@
 
         Before its last argument a command may become as long as any.
         """
+        if self._is_discarding:
+            return 0
         expected_bytes = len(self._partial) + self._frames.missing_bytes
         if expected_bytes <= SMALL_COMMAND_BYTES:
             return 0
@@ -61,8 +65,9 @@
         return int(expected_bytes * BUFFER_GROWTH_FACTOR)
 
     def discard_partial(self) -> None:
-        """Drop an incomplete command, as no further command is parsed."""
-        self._partial.clear()
+        """Drop the received part of an incomplete command, and its remainder when it comes."""
+        self._partial = bytearray()
+        self._is_discarding = self.has_partial_command
 
     def restart_timeout(self) -> None:
         """Restart the timeout of an incomplete command, as the gateway was not reading its input."""
@@ -77,21 +82,30 @@
         """Parse `data` from `start`, and return the arguments of the first command that ends in it.
 
         Sets `command_end` to the position after that command. Returns None if the command is incomplete, and
-        keeps its bytes for the next call. Raises `CommandSyntaxError` if the data is not a command.
+        keeps its bytes for the next call; `DISCARDED` for one whose bytes were dropped. Raises
+        `CommandSyntaxError` if the data is not a command.
         """
         try:
             end = self._frames.scan(data, start)
             if end < 0:
-                self._partial += memoryview(data)[start:]
+                if not self._is_discarding:
+                    self._partial += memoryview(data)[start:]
                 self.partial_since_s = self.partial_since_s or self._time()
                 return None
-            arguments = cast(list[bytes], parse_message(self._complete(data[start:end])))
+            arguments = self._parse(data[start:end])
         except (FrameError, hiredis.ProtocolError) as error:
             raise CommandSyntaxError(str(error)) from error
         self.command_end = end
         self.partial_since_s = 0.0
         return arguments
 
+    def _parse(self, last_part: bytes) -> list[bytes]:
+        """Return the arguments of the command that ends in `last_part`."""
+        if self._is_discarding:
+            self._is_discarding = False
+            return DISCARDED
+        return cast(list[bytes], parse_message(self._complete(last_part)))
+
     def _complete(self, last_part: bytes) -> bytes | bytearray:
         """Return the whole command that ends in `last_part`."""
         if not self._partial:
--- a/qos_gateway/server/clients/commands.py
+++ b/qos_gateway/server/clients/commands.py
@@ -10,6 +10,7 @@
 
 PONG_REPLY = b"+PONG\r\n"
 LOADING_REPLY = b"-LOADING no list of backends yet\r\n"
+BUSY_REPLY = b"-BUSY\r\n"
 UNKNOWN_COMMAND_REPLY = b"-ERR unknown command\r\n"
 
 
--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -10,7 +10,7 @@
 from ..observability.close_reasons import CloseReason
 from ..observability.memory_uses import MemoryUse
 from . import log
-from .commands import error_reply
+from .commands import BUSY_REPLY, error_reply
 from .connection_input import MAX_PIPELINED, ConnectionContext, ConnectionInput
 from .pending_replies import PendingReply, ReplyQueue
 from .socket_protocol import (
@@ -23,9 +23,6 @@
 )
 from .streamed_reply import StreamedReply
 
-# Sent for an incomplete command: at the end of a drain, and where memory is short.
-INCOMPLETE_REPLY = b"-BUSY\r\n"
-
 
 class ConnectionObserver(Protocol):
     """Is notified when a connection opens or closes, and of each command."""
@@ -59,7 +56,6 @@
         "_observer",
         "_queued_since_s",
         "_replies",
-        "half_close_reason",
         "idle_since_s",
         "input",
     )
@@ -75,7 +71,6 @@
         self._replies: ReplyQueue  # set by `connection_made`
         self.input: ConnectionInput  # set by `connection_made`
         self._close_reason: CloseReason | None = None  # None until it is closed
-        self.half_close_reason = CloseReason.PROTOCOL_ERROR  # why it was half-closed, if it is
         # Time at which the connection was opened or last became idle.
         self.idle_since_s = context.time()
 
@@ -155,9 +150,9 @@
         return now_s - (self.input.reader.partial_since_s if self.has_sent_command else self.idle_since_s)
 
     def partial_command_age_s(self, now_s: float) -> float:
-        """Return the seconds since an incomplete command began; 0 if replies are pending or there is none."""
+        """Return the seconds since an incomplete command began; 0 if others precede it or there is none."""
         partial_since_s = self.input.reader.partial_since_s
-        if not partial_since_s or self._replies.pending or self.input.is_closed:
+        if not partial_since_s or self.is_awaiting_replies() or self.input.is_closed:
             return 0.0
         return now_s - partial_since_s
 
@@ -186,7 +181,7 @@
     @property
     def needed_bytes(self) -> int:
         """The memory that its incomplete command waits for."""
-        return self.input.command_memory_needed
+        return self.input.command_memory.needed_bytes
 
     @property
     def priority(self) -> Priority:
@@ -215,19 +210,18 @@
 
     def memory_wait_s(self, now_s: float) -> float:
         """Return for how many seconds its incomplete command has waited for memory; 0 if it does not wait."""
-        waiting_since_s = self.input.waits_for_memory_since_s
+        waiting_since_s = self.input.command_memory.waits_since_s
         return now_s - waiting_since_s if waiting_since_s else 0.0
 
     def command_memory_held(self, now_s: float, min_age_s: float) -> int:
         """Return the memory in bytes of a command that has been incomplete for `min_age_s`.
 
-        One that itself waits for memory holds little, and has a timeout of its own.
+        Only where the gateway reads what its client sends.
         """
-        if self.input.waits_for_memory_since_s:
+        if not self.is_receiving_command() or self.input.is_closed:
             return 0
-        partial_since_s = self.input.reader.partial_since_s
-        is_old = bool(partial_since_s) and now_s - partial_since_s >= min_age_s
-        return self.input.command_memory_bytes if is_old and not self.input.is_closed else 0
+        is_old = now_s - self.input.reader.partial_since_s >= min_age_s
+        return self.input.command_memory.size_bytes if is_old else 0
 
     def unread_memory_held(self, now_s: float, min_age_s: float) -> int:
         """Return the memory in bytes of replies of which the client has read nothing for `min_age_s`."""
@@ -236,12 +230,11 @@
         return self._replies.held_bytes
 
     def reject_for_memory(self) -> None:
-        """Reject the incomplete command, and end the connection after the replies to earlier ones."""
+        """Reject the incomplete command; its remainder is discarded when it comes."""
         log.warning(
-            "client_rejected reason=memory_short waited=%s", bool(self.input.waits_for_memory_since_s)
+            "client_rejected reason=memory_short waited=%s", bool(self.input.command_memory.waits_since_s)
         )
-        self.half_close_reason = CloseReason.MEMORY
-        self._reply_and_end(INCOMPLETE_REPLY)
+        self.input.discard_command(self)
 
     def close_for_memory(self) -> None:
         """Close at once, as the client holds the memory of replies that it does not read."""
@@ -293,10 +286,11 @@
         return stream
 
     def _has_commands_behind(self) -> bool:
-        """Return whether commands, or part of one, were received after that of the first pending reply."""
+        """Return whether commands, or part of one, came after that of the first pending reply."""
         client_input = self.input
         has_pending = len(self._replies.pending) > 1
-        return has_pending or bool(client_input.deferred) or client_input.reader.has_partial_command
+        was_read = has_pending or bool(client_input.deferred) or client_input.reader.has_partial_command
+        return was_read or self.has_unread_bytes()
 
     def _start_next_stream(self) -> None:
         """Start writing the first pending reply if it is a large value that is due."""
@@ -344,7 +338,7 @@
         connection is closed.
         """
         if not (self.is_awaiting_replies() or self.input.is_closed or self._transport.is_closing()):
-            self._reply_and_end(INCOMPLETE_REPLY)
+            self._reply_and_end(BUSY_REPLY)
 
     def _reply_and_end(self, reply: bytes) -> None:
         """Close the input, and half-close the connection after this last reply."""
--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..memory.budget import MemoryBudget, MemoryReservation, MemoryWaiter, Priority
+from ..memory.budget import MemoryBudget, MemoryWaiter, Priority
 from ..networking.read_size import (
     MIN_READ_BYTES,
     READ_BUFFER_BYTES,
@@ -14,19 +14,23 @@
     value_read_size_bytes,
 )
 from ..observability.close_reasons import CloseReason
-from ..observability.memory_uses import MemoryUse
 from .accept_drain import DrainState
+from .arrival_times import ArrivalTimes
 from .buffer_budgets import ActiveStreams, BufferBudget
 from .close_guard import CloseGuard
-from .command_reader import CommandReader, CommandSyntaxError
-from .commands import CommandExecutor, RequestHandler
+from .command_memory import CommandMemory
+from .command_reader import DISCARDED, CommandReader, CommandSyntaxError
+from .commands import BUSY_REPLY, CommandExecutor, RequestHandler
 from .deferred_input import DeferredInput, InputChunk
 from .hangup_monitor import HangupMonitor
-from .input_backlog import FULL_BUFFER_THRESHOLD_BYTES, InputBacklog
-from .input_scheduler import SLICE_TIME_S, InputScheduler, ScheduledConnection
+from .input_scheduler import (
+    FIRST_SLICE_TIME_S,
+    SLICE_TIME_S,
+    InputScheduler,
+    ScheduledConnection,
+)
 from .loop_stalls import LoopStallDetector
 from .pending_replies import PendingReply, ReplyConnection, ReplyQueue
-from .receive_times import ReceiveTimes, estimate_receive_times
 from .socket_protocol import SocketAges
 
 MAX_PIPELINED = 32  # commands per connection without a reply; later commands are deferred
@@ -86,6 +90,11 @@
         """Close after all replies are written."""
 
 
+def _slice_time_s(connection: InputConnection) -> float:
+    """Return the time for which the connection's commands are executed before those of others."""
+    return SLICE_TIME_S if connection.was_served else FIRST_SLICE_TIME_S
+
+
 class ConnectionInput:
     """Executes a client's commands as they are read, up to a limit on commands without a reply.
 
@@ -99,18 +108,16 @@
     """
 
     __slots__ = (
-        "_backlog",
-        "_command_memory",
+        "_arrival_times",
         "_context",
         "_discarded_bytes",
-        "_queued_since_s",
         "_replies",
+        "command_memory",
         "deferred",
         "has_sent_command",
         "is_closed",
         "is_parsing",
         "reader",
-        "waits_for_memory_since_s",
     )
 
     def __init__(self, context: ConnectionContext, replies: ReplyQueue) -> None:
@@ -118,11 +125,8 @@
         self._replies = replies
         self.reader = CommandReader(context.time)
         self.deferred = DeferredInput(context.buffers)
-        self._command_memory = MemoryReservation(context.memory, MemoryUse.COMMANDS)
-        self.waits_for_memory_since_s = 0.0  # 0 while the incomplete command has the memory that it needs
-        self._backlog = InputBacklog()
-        # Earliest receive time of the first read, if its bytes arrived before the accept; otherwise None.
-        self._queued_since_s: float | None = None
+        self.command_memory = CommandMemory(context.memory, self.reader, context.time)
+        self._arrival_times = ArrivalTimes(context.time, context.stall_detector)
         self._discarded_bytes = 0
         self.has_sent_command = False  # the client has sent at least one complete command
         self.is_parsing = False  # a command is being executed, and more may follow in the same data
@@ -130,7 +134,7 @@
 
     def note_queued_since(self, queued_since_s: float) -> None:
         """Record that bytes arrived before the accept, no earlier than this time."""
-        self._queued_since_s = queued_since_s
+        self._arrival_times.note_queued_since(queued_since_s)
 
     def receive(self, connection: InputConnection, data: bytes) -> None:
         """Execute the commands in the data up to the limit, and defer the remainder."""
@@ -139,12 +143,12 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.update_reading(connection)
             return
-        chunk = InputChunk(data, self._receive_times(connection, len(data)))
+        chunk = InputChunk(data, self._arrival_times.of_read(connection, len(data)))
         scheduler = self._context.scheduler
         has_used_slice = True
         if not self.deferred and scheduler.has_time():
             started_at_s = self._context.time()
-            self._execute_commands(connection, chunk, started_at_s + SLICE_TIME_S)
+            self._execute_commands(connection, chunk, started_at_s + _slice_time_s(connection))
             scheduler.record(self._context.time() - started_at_s)
         else:
             self.deferred.append(chunk)
@@ -165,91 +169,39 @@
             return READ_BUFFER_BYTES  # it is discarded
         if context.buffers.is_read_ahead_over_limit(0):
             return MIN_READ_BYTES
-        if self._command_memory.size_bytes:
+        if self.command_memory.size_bytes:
             return value_read_size_bytes(context.memory, self.reader.missing_bytes, is_reserved=True)
         return read_size_bytes(context.memory)
 
-    @property
-    def command_memory_bytes(self) -> int:
-        """The memory that is reserved for the incomplete command."""
-        return self._command_memory.size_bytes
-
-    @property
-    def command_memory_needed(self) -> int:
-        """The memory that the incomplete command needs beyond what is reserved for it."""
-        return max(0, self.reader.needed_memory_bytes() - self._command_memory.size_bytes)
-
     def _reserve_command_memory(self, connection: InputConnection) -> None:
-        """Reserve memory for all of the incomplete command that is known, or pause until there is room."""
-        needed_bytes = self.command_memory_needed
-        reserved_bytes = self._command_memory.size_bytes
-        if not self.reader.held_bytes:
-            self._command_memory.release()
-            return
-        if self.is_closed or needed_bytes <= 0 or self.waits_for_memory_since_s:
-            return
-        if self._command_memory.resize(reserved_bytes + needed_bytes, connection.priority):
-            return
-        self._command_memory.set_size(max(reserved_bytes, self.reader.held_bytes))
-        self.waits_for_memory_since_s = self._context.time()
-        self._context.memory.enqueue(connection)
-        self.update_reading(connection)
+        """Reserve memory for an incomplete command, or pause reading until there is room."""
+        if not self.is_closed and not self.command_memory.reserve(connection):
+            self.update_reading(connection)
 
     def grant_command_memory(self, connection: InputConnection) -> None:
         """Reserve the memory that the incomplete command waits for, and read on."""
-        self._command_memory.set_size(self._command_memory.size_bytes + self.command_memory_needed)
-        self.waits_for_memory_since_s = 0.0
-        self.update_reading(connection)
+        self.command_memory.grant()
+        self.update_reading(connection, restarts_timeout=False)
+
+    def discard_command(self, connection: InputConnection) -> None:
+        """Give up the memory of the incomplete command; it is rejected when its last byte has come."""
+        self.reader.discard_partial()
+        self.command_memory.release(connection)
+        self.update_reading(connection, restarts_timeout=False)
 
     def release_memory(self, connection: InputConnection) -> None:
         """Drop all input."""
-        self._context.memory.discard(connection)
-        self.waits_for_memory_since_s = 0.0
         self.deferred.clear()
         self.reader.discard_partial()
-        self._command_memory.release()
+        self.command_memory.release(connection)
 
     # Executing commands.
 
-    def _receive_times(self, connection: InputConnection, size: int) -> ReceiveTimes:
-        """Return the receive times of the bytes that are read now."""
-        now_s = self._context.time()
-        if self._backlog.exists():
-            received_at_s = self._backlog.received_at_s(now_s, size, not connection.unread_bytes())
-            return ReceiveTimes(received_at_s, received_at_s)
-        unread_since_s = self._unread_since_s(now_s)
-        if unread_since_s is not None:
-            return self._delayed_receive_times(connection, now_s, unread_since_s, size)
-        if size >= FULL_BUFFER_THRESHOLD_BYTES and connection.unread_bytes():
-            self._backlog.note_partial_read(now_s)
-        return ReceiveTimes(now_s, now_s)
-
-    def _unread_since_s(self, now_s: float) -> float | None:
-        """Return the time since which the socket may have been unread, or None if reads were not delayed."""
-        queued_since_s = self._queued_since_s
-        if queued_since_s is None:
-            return self._context.stall_detector.stalled_since_s(now_s)
-        self._queued_since_s = None
-        return queued_since_s
-
-    def _delayed_receive_times(
-        self, connection: InputConnection, now_s: float, unread_since_s: float, size: int
-    ) -> ReceiveTimes:
-        """Return the receive times of bytes whose read was delayed.
-
-        Starts a backlog if the socket may have been full, as the client's system then sends more bytes later.
-        """
-        times = estimate_receive_times(now_s, unread_since_s, connection.socket_ages())
-        if size >= FULL_BUFFER_THRESHOLD_BYTES:
-            self._backlog.pause(times.first_s)
-            self._backlog.resume(now_s, size)
-        return times
-
     def _run_slice(self, connection: InputConnection) -> None:
         """Execute or reject deferred commands until the slice ends or the remaining ones have to wait."""
         context = self._context
         started_at_s = context.time()
-        ends_at_s = started_at_s + SLICE_TIME_S
+        ends_at_s = started_at_s + _slice_time_s(connection)
         while self._is_runnable(connection) and context.time() < ends_at_s:
             sheds = self._must_shed(connection)
             self._execute_commands(connection, self.deferred.pop_first(), ends_at_s, sheds)
@@ -280,10 +232,12 @@
                 position = self.reader.command_end
                 pending_reply = PendingReply(connection)
                 self._replies.add(pending_reply)
-                self._command_memory.release()
+                self.command_memory.end_command()
                 self.has_sent_command = True
                 connection.command_received()
-                if may_execute:
+                if arguments is DISCARDED:
+                    connection.reply(pending_reply, BUSY_REPLY)
+                elif may_execute:
                     waited_s = now_s - chunk.received_at_s(position)
                     context.commands.execute(pending_reply, arguments, waited_s)
                 else:
@@ -330,7 +284,7 @@
         is_full = len(self._replies.pending) >= MAX_PENDING_REPLIES
         if is_full or connection.blocked or self._replies.is_streaming_value():
             return False
-        if self.waits_for_memory_since_s or (self.deferred and not self._has_additional_memory()):
+        if self.command_memory.waits_since_s or (self.deferred and not self._has_additional_memory()):
             return False
         return not (self._is_runnable(connection) and self.deferred.is_read_ahead_over_limit())
 
@@ -354,12 +308,16 @@
             self._context.scheduler.add(connection, has_used_slice)
 
     def close(self, connection: InputConnection) -> None:
-        """Stop executing commands, and discard further input."""
+        """Stop executing commands, and discard further input; what is deferred stays until the end."""
         self.is_closed = True
-        self.release_memory(connection)
+        self.reader.discard_partial()
+        self.command_memory.release(connection)
+
+    def update_reading(self, connection: InputConnection, restarts_timeout: bool = True) -> None:
+        """Resume or pause reading; while it is paused, watch for the client to disconnect.
 
-    def update_reading(self, connection: InputConnection) -> None:
-        """Resume or pause reading; while it is paused, watch for the client to disconnect."""
+        The timeout of an incomplete command is restarted unless the command itself waited for memory.
+        """
         if self.is_closed:
             may_read = self._discarded_bytes <= MAX_DISCARDED_BYTES
         else:
@@ -367,7 +325,8 @@
         if connection.set_reading(may_read):
             self._context.hangup_monitor.set_watched(connection, not may_read)
             if not may_read:
-                self._backlog.pause(self._context.time())
+                self._arrival_times.pause()
                 return
-            self.reader.restart_timeout()
-            self._backlog.resume(self._context.time(), connection.unread_bytes())
+            if restarts_timeout:
+                self.reader.restart_timeout()
+            self._arrival_times.resume(connection.unread_bytes())
--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -134,8 +134,8 @@
                 yield client
         for client in clients:
             is_old = client.partial_command_age_s(now_s) >= MIN_PARTIAL_BEFORE_EVICTION_S
-            # Unread bytes may complete the command.
-            if is_old and not client.has_unread_bytes():
+            # Unread bytes may complete the command, unless there is no memory to read them.
+            if is_old and (client.memory_wait_s(now_s) or not client.has_unread_bytes()):
                 yield client
 
     # The set of connections.
--- a/qos_gateway/server/clients/listener.py
+++ b/qos_gateway/server/clients/listener.py
@@ -17,8 +17,7 @@
 log.addFilter(RateLimitFilter())
 
 BACKLOG = 1024  # length of the accept queue in the kernel
-# Connections per iteration of the event loop; limited because evicted ones close only in the next iteration.
-ACCEPT_BATCH = 16
+ACCEPT_BATCH = 64  # connections per iteration of the event loop
 ACCEPT_RETRY_INTERVAL_S = 0.02
 # After this time without capacity, queued connections are closed, so that clients can retry.
 MAX_QUEUE_TIME_S = 0.25
--- a/qos_gateway/server/clients/memory_reclaim.py
+++ b/qos_gateway/server/clients/memory_reclaim.py
@@ -19,14 +19,14 @@
         """Return the memory in bytes of replies of which the client has read nothing for `min_age_s`."""
 
     def reject_for_memory(self) -> None:
-        """Reject the incomplete command, and end the connection."""
+        """Reject the incomplete command."""
 
     def close_for_memory(self) -> None:
         """Close the connection of a client that does not read its replies."""
 
 
 def reclaim_memory(holders: Sequence[MemoryHolder], now_s: float, needed_bytes: int) -> None:
-    """End connections that hold memory without progress, those that hold most first."""
+    """Reject commands that come slowly and close clients that read nothing, those that hold most first."""
     held: list[tuple[int, bool, MemoryHolder]] = []
     for holder in holders:
         command_bytes = holder.command_memory_held(now_s, MAX_IDLE_HOLD_S)
--- a/qos_gateway/server/clients/timeouts.py
+++ b/qos_gateway/server/clients/timeouts.py
@@ -78,7 +78,7 @@
     """Close a connection that has exceeded the timeout of its state."""
     if client.half_close_ends_at_s:
         if client.is_half_close_over(now_s, WRITE_STALL_TIMEOUT_S):
-            client.abort(client.half_close_reason)
+            client.abort(CloseReason.PROTOCOL_ERROR)
     elif client.memory_wait_s(now_s) >= MEMORY_WAIT_TIMEOUT_S:
         client.reject_for_memory()
     elif client.blocked:
