Soak: crowds that hold memory, new customers, ids that come again, peak memory

Change: gateways have 32, 48 or 96 MB; faults half_commands, slow_commands, many_fields, unread_values (150 to 450 clients), new_customers, come_again; a check of each process's peak; mutants hold_commands_without_limit, keep_response_buffers, keep_every_customer, forget_what_ran.

--- a/soak/checks/processes.py
+++ b/soak/checks/processes.py
@@ -7,6 +7,7 @@
 from soak.observations import ProcessSeen
 
 READY_WITHIN_S = 10.0
+MEBIBYTE = 1 << 20
 
 
 def check_processes(history: History) -> list[Violation]:
@@ -20,6 +21,21 @@
     return found
 
 
+def check_memory(history: History) -> list[Violation]:
+    """Find processes whose resident memory passed the limit in their settings."""
+    limit_bytes = history.deployment.fleet.memory_mb * MEBIBYTE
+    return [
+        Violation(
+            Rule.MEMORY,
+            seen.exited_at or seen.started_at,
+            f"peak of {seen.peak_memory_bytes / MEBIBYTE:.1f} MB with a limit of {limit_bytes // MEBIBYTE} "
+            f"gateway={seen.gateway} process={seen.number}",
+        )
+        for seen in history.record.processes
+        if seen.peak_memory_bytes > limit_bytes
+    ]
+
+
 def _was_ended(seen: ProcessSeen) -> bool:
     return seen.killed_at is not None or seen.terminated_at is not None
 
--- a/soak/checks/verdict.py
+++ b/soak/checks/verdict.py
@@ -9,7 +9,7 @@
 from soak.checks.attempts import check_attempts
 from soak.checks.endpoints import check_drains, check_maintenance
 from soak.checks.history import History
-from soak.checks.processes import check_processes
+from soak.checks.processes import check_memory, check_processes
 from soak.checks.quota import check_ceilings
 from soak.checks.recovery import check_recovery, final_share
 from soak.checks.rejections import check_rejections
@@ -30,6 +30,7 @@
     check_slow_starts,
     check_ceilings,
     check_processes,
+    check_memory,
     check_bad_clients,
     check_recovery,
 )
--- a/soak/checks/violations.py
+++ b/soak/checks/violations.py
@@ -23,6 +23,7 @@
     SLOW_START = "slow_start"
     CEILING = "ceiling"
     CRASH = "crash"
+    MEMORY = "memory"  # a process passed its memory limit
     READY = "ready"
     BAD_CLIENT = "bad_client"
     RECOVERY = "recovery"
--- a/soak/clients/request_generator.py
+++ b/soak/clients/request_generator.py
@@ -44,8 +44,21 @@
             wait_s=wait_s,
         )
 
-    def command(self, seen: RequestSeen) -> bytes:
-        """Return the command of a request, and record its content."""
+    def request_of(
+        self, gateway: int, process: int, effect: Effect, customer: int | None = None
+    ) -> RequestSeen:
+        """Draw a request of a class with this effect, and of this customer if one is given."""
+        seen = self.next_request(gateway, process)
+        kinds = [kind.effect for kind in self._deployment.kinds]
+        seen.kind = kinds.index(effect)
+        seen.wait_s = self._deployment.kinds[seen.kind].deadline_s
+        seen.plan = 0
+        drawn = self._rng.randrange(HEAVY_CUSTOMERS, CUSTOMERS)
+        seen.customer = drawn if customer is None else customer
+        return seen
+
+    def command(self, seen: RequestSeen, body_bytes: int | None = None) -> bytes:
+        """Return the command of a request with a drawn body or one of a given size; record its content."""
         kind = self._deployment.kinds[seen.kind]
         plan = self._deployment.plans[seen.plan]
         key = f",k={seen.request_id}" if kind.effect is Effect.KEYED else ""
@@ -55,10 +68,31 @@
         )
         is_idempotent = kind.effect is Effect.IDEMPOTENT
         name = b"CALL.GET" if is_idempotent else b"CALL.POST"
-        body = () if is_idempotent else (self._rng.randbytes(self._body_bytes()),)
+        size = self._body_bytes() if body_bytes is None else body_bytes
+        body = () if is_idempotent else (self._rng.randbytes(size),)
         words = (name, b"%016x" % (seen.customer + 1), seen.request_id.encode(), pairs.encode(), *body)
         seen.content = content_of(words)
         return hiredis.pack_command(words)  # type: ignore[no-any-return]
 
     def _body_bytes(self) -> int:
         return self._rng.randrange(1 + self._rng.choice(MAX_BODY_BYTES))
+
+
+class GeneratedCommands:
+    """Commands of a crowd at one process of a gateway, drawn by a generator."""
+
+    def __init__(self, generator: RequestGenerator, gateway: int, process: int) -> None:
+        self._generator = generator
+        self._gateway = gateway
+        self._process = process
+
+    def value_command(self, value_bytes: int) -> bytes:
+        """Return a request that is answered by a value of this size."""
+        seen = self._generator.request_of(self._gateway, self._process, Effect.IDEMPOTENT)
+        seen.request_id += f"-{value_bytes}"
+        return self._generator.command(seen)
+
+    def body_command(self, body_bytes: int) -> bytes:
+        """Return a request with a body of this size."""
+        seen = self._generator.request_of(self._gateway, self._process, Effect.NOT_IDEMPOTENT)
+        return self._generator.command(seen, body_bytes)
--- a/soak/clients/traffic.py
+++ b/soak/clients/traffic.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from soak.background_tasks import BackgroundTasks
-from soak.clients.connection import ClientConnection
+from soak.clients.connection import ClientConnection, ClientConnectionListener
+from soak.clients.crowds import Crowd, CrowdBehavior, CrowdPlan
 from soak.clients.invalid_commands import flood, send_invalid
 from soak.clients.persistent_clients import PersistentClients
-from soak.clients.request_generator import RequestGenerator
+from soak.clients.request_generator import GeneratedCommands, RequestGenerator
 from soak.clients.request_sender import RequestSender
 from soak.gateways import Gateway, GatewayProcess
-from soak.observations import Record
-from soak.settings import Deployment
+from soak.observations import Record, RequestSeen
+from soak.settings import Deployment, Effect
 
 PIPELINED_COMMANDS = 120
 DISCONNECTING_CLIENTS = 6
@@ -30,9 +32,33 @@
 CROWD_DURATION_S = 2.0  # until a crowd that lasts throughout a run connects anew
 CROWDED_EVERY = 4  # gateways, where a crowd lasts throughout a run
 CLIENT_GAP_S = 0.02
+CROWD_SIZES = (150, 330, 450)
+CROWD_BODY_BYTES = (30_000, 65_000)
+SLOW_PIECE_INTERVAL_S = 0.1  # long enough that no command is complete before its crowd ends
+UNREAD_VALUE_BYTES = (3_000, 20_000, 60_000)
+UNREAD_REQUESTS = 6  # by each client of a crowd
+NEW_CUSTOMERS_AT_ONCE = 16
+NEW_CUSTOMERS_INTERVAL_S = 0.01
+FIRST_NEW_CUSTOMER = 1_000_000
+REQUESTS_COMING_AGAIN = 20
+COMES_AGAIN_AFTER_S = 0.15
 IN_CHUNKS_SHARE = 0.1  # of the regular requests
 
 
+class SingleCallerListener:
+    """The listener of a connection that no other client uses when it is idle."""
+
+    def __init__(self, sender: RequestSender) -> None:
+        self._sender = sender
+
+    def on_idle(self, connection: ClientConnection) -> None:
+        """Leave the connection to its caller."""
+
+    def on_unanswered(self, connection: ClientConnection, seen: RequestSeen) -> None:
+        """Have a request sent once more whose connection closed before its reply."""
+        self._sender.on_unanswered(connection, seen)
+
+
 class Traffic:
     """All clients of all gateways."""
 
@@ -46,6 +72,7 @@
         self._sender = RequestSender(gateways, record, self._generator, self._rng)
         self._persistent_clients = PersistentClients(self._sender)
         self._tasks = BackgroundTasks()
+        self._next_customer = FIRST_NEW_CUSTOMER
         self._stopped = False
 
     def start(self, has_crowd: bool) -> None:
@@ -85,9 +112,11 @@
 
     # Unusual clients.
 
-    async def _connect(self, gateway: int) -> ClientConnection | None:
+    async def _connect(
+        self, gateway: int, listener: ClientConnectionListener | None = None
+    ) -> ClientConnection | None:
         process = self._process_for_new_connections(gateway)
-        return None if process is None else await self._sender.connect(gateway, process)
+        return None if process is None else await self._sender.connect(gateway, process, listener)
 
     def _process_for_new_connections(self, gateway: int) -> GatewayProcess | None:
         process = self._gateways[gateway].process
@@ -149,6 +178,77 @@
             await self.crowd(gateway, CROWD_DURATION_S)
             await asyncio.sleep(CLIENT_GAP_S)
 
+    async def hold_memory(self, gateway: int, duration_s: float, behavior: CrowdBehavior) -> None:
+        """Have a crowd write large commands in part or slowly; none of them is complete in time."""
+        process = self._process_for_new_connections(gateway)
+        if process is not None:
+            plan = CrowdPlan(
+                behavior=behavior,
+                clients=self._rng.choice(CROWD_SIZES),
+                body_bytes=self._rng.choice(CROWD_BODY_BYTES),
+                piece_interval_s=SLOW_PIECE_INTERVAL_S,
+            )
+            commands = GeneratedCommands(self._generator, gateway, process.seen.number)
+            await Crowd(plan, commands, process.port).run(duration_s)
+
+    async def leave_values_unread(self, gateway: int, duration_s: float) -> None:
+        """Have a crowd request values, and read none of them."""
+        size = self._rng.choice(UNREAD_VALUE_BYTES)
+        opened = []
+        for _ in range(self._rng.choice(CROWD_SIZES)):
+            connection = await self._connect(gateway)
+            if connection is None:
+                break
+            opened.append(connection)
+            connection.transport.pause_reading()
+            for _ in range(UNREAD_REQUESTS):
+                seen = self._generator.request_of(gateway, connection.process.seen.number, Effect.IDEMPOTENT)
+                seen.request_id += f"-{size}"
+                self._sender.send(connection, seen)
+        await asyncio.sleep(duration_s)
+        for connection in opened:
+            connection.disconnect()
+
+    async def bring_new_customers(self, gateway: int, duration_s: float) -> None:
+        """Send requests on one connection as fast as they are answered, each for another customer."""
+        connection = await self._connect(gateway, SingleCallerListener(self._sender))
+        ends_at = self._loop.time() + duration_s
+        while connection is not None and connection.is_usable() and self._loop.time() < ends_at:
+            for _ in range(NEW_CUSTOMERS_AT_ONCE):
+                self._next_customer += 1
+                seen = self._generator.request_of(
+                    gateway, connection.process.seen.number, Effect.IDEMPOTENT, self._next_customer
+                )
+                self._sender.send(connection, seen)
+            await asyncio.sleep(NEW_CUSTOMERS_INTERVAL_S)
+
+    async def come_again(self, gateway: int) -> None:
+        """Send payments and leave; send the same ones on a new connection soon after."""
+        connection = await self._connect(gateway)
+        if connection is None:
+            return
+        process = connection.process.seen.number
+        sent = []
+        for _ in range(REQUESTS_COMING_AGAIN):
+            seen = self._generator.request_of(gateway, process, Effect.NOT_IDEMPOTENT)
+            command = self._generator.command(seen)
+            self._record.requests.append(seen)
+            connection.send(seen, command)
+            sent.append((seen, command))
+        await asyncio.sleep(self._rng.choice(DISCONNECT_DELAYS_S))
+        connection.disconnect()
+        await asyncio.sleep(COMES_AGAIN_AFTER_S)
+        connection = await self._connect(gateway)
+        if connection is None or connection.process.seen.number != process:
+            return
+        for seen, command in sent:
+            if seen.client_closed_at is None:
+                continue  # it was answered before
+            seen.sent_again_at = self._loop.time()
+            again = replace(seen, client_closed_at=None, sent_again_at=None, is_retried=True)
+            self._record.requests.append(again)
+            connection.send(again, command)
+
     async def misbehave(self, gateway: int, data: bytes) -> None:
         """Send bytes that are no command, and record how the gateway ends the connection."""
         process = self._process_for_new_connections(gateway)
--- a/soak/gateways/process.py
+++ b/soak/gateways/process.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 from soak.gateways.log import ProcessLog
@@ -15,6 +17,9 @@
 PING_TIMEOUT_S = 1.0
 PING = b"*1\r\n$4\r\nPING\r\n"
 PONG = b"+PONG\r\n"
+PEAK_MEMORY = re.compile(r"^VmHWM:\s+(\d+) kB$", re.MULTILINE)
+KIBIBYTE = 1024
+MEMORY_INTERVAL_S = 0.2  # between two looks at the peak, of which only the last before the end may be missed
 
 
 class GatewayProcess:
@@ -29,8 +34,19 @@
         self.port = 0
         self.takes_new_connections = False
         self._process = process
+        self._memory_task = asyncio.create_task(self._record_memory())
         self._log = ProcessLog(process.stderr, log_path, seen.faults)
 
+    async def _record_memory(self) -> None:
+        """Record the peak of the resident memory until the process has ended."""
+        path = Path(f"/proc/{self._process.pid}/status")
+        while self._process.returncode is None:
+            with suppress(OSError):
+                peak = PEAK_MEMORY.search(path.read_text())
+                if peak is not None:
+                    self.seen.peak_memory_bytes = max(self.seen.peak_memory_bytes, int(peak[1]) * KIBIBYTE)
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
     async def wait_until_ready(self, pings: bool) -> None:
         """Wait until the process answers `PING`, or without pings until it listens.
 
--- a/soak/mutants/__init__.py
+++ b/soak/mutants/__init__.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from soak.mutants import attempts, endpoints, processes, quota, responses, retries
+from soak.mutants import attempts, endpoints, memory, processes, quota, responses, retries
 
 MUTANTS: dict[str, Callable[[], None]] = {
     mutant.__name__: mutant
@@ -32,6 +32,10 @@
         responses.wait_for_slow_values,
         endpoints.believe_older_lists,
         endpoints.forget_maintenance,
+        memory.hold_commands_without_limit,
+        memory.keep_response_buffers,
+        memory.keep_every_customer,
+        memory.forget_what_ran,
         processes.crash,
         processes.stop_at_once,
         processes.wait_for_bad_clients,
--- a/soak/mutants/processes.py
+++ b/soak/mutants/processes.py
@@ -51,6 +51,7 @@
 def execute_commands_at_once() -> None:
     """Execute all commands of a client that were read in one turn of the event loop."""
     patch(connection_input, "SLICE_TIME_S", UNREACHED_TIMEOUT_S)
+    patch(connection_input, "FIRST_SLICE_TIME_S", UNREACHED_TIMEOUT_S)
     patch(InputScheduler, "has_time", always_true)
     patch(connections, "READ_BUFFER_BYTES", UNBOUNDED_READ_BYTES)
     patch(connection_input, "read_size_bytes", lambda _: UNBOUNDED_READ_BYTES)
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -63,6 +63,7 @@
     client_closed_at: float | None = None
     connection_end: ConnectionEnd | None = None
     is_retried: bool = False  # on the first record and on that of the client's retry
+    sent_again_at: float | None = None  # when its client sent it on a new connection after it had left
 
 
 @dataclass(slots=True, eq=False, kw_only=True)
@@ -95,6 +96,7 @@
     paused: list[float] = field(default_factory=list)  # when it was sent SIGSTOP
     faults: list[str] = field(default_factory=list)  # log lines that report an internal error
     is_upgraded: bool = False  # it hands its state over to the next process
+    peak_memory_bytes: int = 0  # largest resident memory
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/soak/order_servers/command_handler.py
+++ b/soak/order_servers/command_handler.py
@@ -15,6 +15,8 @@
     ERROR_REPLY,
     PONG_REPLY,
     UNKNOWN_REPLY,
+    padded,
+    requested_bytes,
     response_value,
     success_reply,
 )
@@ -84,7 +86,8 @@
         if self._faults.affects_command(FaultKind.LARGE):
             self._faulty_replies.send_large(connection, seen, value)
             return
-        reply = success_reply(value)
+        size = requested_bytes(seen.request_id)
+        reply = success_reply(padded(value, size) if size else value)
         if self._faults.affects_command(FaultKind.ERROR):
             reply = ERROR_REPLY
         if self._faults.is_active(FaultKind.HANG):
--- a/soak/order_servers/responses.py
+++ b/soak/order_servers/responses.py
@@ -16,6 +16,12 @@
     return f"{request_id}/{server}".encode()
 
 
+def requested_bytes(request_id: str) -> int:
+    """Return the size of the value that a request asks for by the end of its id, `-SIZE`; 0 for any."""
+    _, _, size = request_id.partition("-")
+    return int(size or 0)
+
+
 def padded(value: bytes, size: int) -> bytes:
     """Return a value with padding up to a size in bytes."""
     return value + b"/" + PADDING * (size - len(value) - 1)
--- a/soak/report.py
+++ b/soak/report.py
@@ -9,6 +9,7 @@
 from soak.observations import Record
 from soak.scenario import RunResult
 
+MEBIBYTE = 1 << 20
 SHOWN_VIOLATIONS = 12  # of each rule
 
 
@@ -19,9 +20,11 @@
     levels = " ".join(f"{level.value}={count}" for level, count in sorted(verdict.levels.items(), key=str))
     worst_lag_s = max((lag.seconds for lag in record.lags), default=0.0)
     final = "none" if verdict.final_share is None else f"{verdict.final_share:.3f}"
+    peak_mb = max((seen.peak_memory_bytes for seen in record.processes), default=0) / MEBIBYTE
     lines = [
         f"seed {seed}: {len(record.requests)} requests {levels} attempts={verdict.attempts} "
         f"processes={len(record.processes)} final_share={final} own_lag_s={worst_lag_s:.3f}",
+        f"  memory: peak_mb={peak_mb:.1f} limit_mb={result.memory_mb}",
         f"  bounds: {verdict.bounds} widened={len(verdict.widened_s)} "
         f"widest_s={max(verdict.widened_s, default=0.0):.3f}",
         "  broken: " + (" ".join(f"{rule.value}={count}" for rule, count in rules.items()) or "none"),
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -39,6 +39,7 @@
 
     verdict: Verdict
     record: Record
+    memory_mb: int  # the limit of each gateway
 
 
 class Scenario:
@@ -97,7 +98,11 @@
             lag_task.cancel()
             await self._close()
         record_propagation_deadlines(self._gateways, self._source, self._record)
-        return RunResult(verdict=reach_verdict(self._deployment, self._record), record=self._record)
+        return RunResult(
+            verdict=reach_verdict(self._deployment, self._record),
+            record=self._record,
+            memory_mb=self._deployment.fleet.memory_mb,
+        )
 
     async def _start(self) -> None:
         for _ in range(self._options.order_servers):
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -57,6 +57,12 @@
     CROWD = "crowd"  # idle clients open all connections that the gateway allows
     GARBAGE = "garbage"
     FLOOD = "flood"  # sends megabytes of commands that are no requests
+    HALF_COMMANDS = "half_commands"  # hundreds of clients stop half way through a large command
+    SLOW_COMMANDS = "slow_commands"  # hundreds of clients write a large command in small pieces
+    MANY_FIELDS = "many_fields"  # hundreds of clients write commands of very many short fields
+    UNREAD_VALUES = "unread_values"  # hundreds of clients request values, and read none
+    NEW_CUSTOMERS = "new_customers"  # one caller at full speed, each request for another customer
+    COME_AGAIN = "come_again"  # clients leave, and send the same requests on a new connection
     # The counter.
     COUNTER_DOWN = "counter_down"
     COUNTER_SLOW = "counter_slow"
@@ -87,6 +93,22 @@
         FaultKind.CROWD,
         FaultKind.GARBAGE,
         FaultKind.FLOOD,
+        FaultKind.HALF_COMMANDS,
+        FaultKind.SLOW_COMMANDS,
+        FaultKind.MANY_FIELDS,
+        FaultKind.UNREAD_VALUES,
+        FaultKind.NEW_CUSTOMERS,
+        FaultKind.COME_AGAIN,
+    }
+)
+# Faults that are injected at one gateway, as they keep the soak itself busy.
+SINGLE_GATEWAY_FAULTS = frozenset(
+    {
+        FaultKind.HALF_COMMANDS,
+        FaultKind.SLOW_COMMANDS,
+        FaultKind.MANY_FIELDS,
+        FaultKind.UNREAD_VALUES,
+        FaultKind.NEW_CUSTOMERS,
     }
 )
 COUNTER_FAULTS = frozenset(
@@ -132,7 +154,7 @@
     if kind in COUNTER_FAULTS:
         return Fault(kind, at, rng.uniform(MIN_DURATION_S, MAX_DURATION_S), ())
     population = gateways if kind in GATEWAY_FAULTS else order_servers
-    most = max(1, population // 3)
+    most = 1 if kind in SINGLE_GATEWAY_FAULTS else max(1, population // 3)
     targets = tuple(rng.sample(range(population), rng.randint(1, most)))
     longest_s = MAX_OUTAGE_S if kind is FaultKind.DISCOVERY_DOWN else MAX_DURATION_S
     return Fault(kind, at, rng.uniform(MIN_DURATION_S, longest_s), targets)
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -8,6 +8,7 @@
 
 LOCALHOST = "127.0.0.1"
 DESCRIPTORS = (256, 400, 1024)
+MEMORY_MB = (32, 48, 96)
 PEER_MESSAGES_PER_S = (0.0, 0.0, 40.0, 400.0)  # a counter, owners of buckets, gossip
 MACHINE_CLASS = "m1"
 OBJECTIVE_S = 0.8
@@ -126,6 +127,7 @@
             order_servers=order_servers,
             descriptors=limits_rng.choice(DESCRIPTORS),
             peer_messages_per_s=limits_rng.choice(PEER_MESSAGES_PER_S),
+            memory_mb=limits_rng.choice(MEMORY_MB),
         ),
         zones=("a", "b"),
         kinds=kinds,
