--- a/qos_gateway/server/memory/monitor.py
+++ b/qos_gateway/server/memory/monitor.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import time
 from collections.abc import Callable
 
 from ..observability.logs import RateLimitFilter
@@ -17,7 +18,11 @@
 log.addFilter(RateLimitFilter())
 
 CHECK_INTERVAL_S = 0.05
-MIN_TRIM_INTERVAL_S = 0.5  # between two returns of free memory, as each walks the whole heap
+# Free memory is collected and returned once the process uses this fraction of the capacity.
+TRIM_FRACTION = 0.5
+MIN_TRIM_INTERVAL_S = 0.5
+# Between two trims there are at least so many times the duration of the last one, as each walks the heap.
+TRIM_PAUSE_FACTOR = 50.0
 
 
 class MemoryMonitor:
@@ -33,7 +38,7 @@
         self._customers = customers
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
-        self._trimmed_at_s = 0.0
+        self._next_trim_at_s = 0.0
         self._was_short = False
         self.at_rest_bytes = limits.at_rest_bytes
 
@@ -68,17 +73,27 @@
         self._schedule()
         budget = self._budget
         budget.set(MemoryUse.CUSTOMERS, self._customers() * CUSTOMER_BYTES)
-        uncounted_bytes = self._uncounted_bytes()
-        if uncounted_bytes > 0 and self._loop.time() - self._trimmed_at_s >= MIN_TRIM_INTERVAL_S:
-            self._trimmed_at_s = self._loop.time()
-            gc.collect()  # closed connections are part of cycles
-            self._process.return_free_memory()
-            uncounted_bytes = self._uncounted_bytes()
-        budget.set(MemoryUse.UNCOUNTED, max(0, uncounted_bytes))
+        if self._uncounted_bytes() > 0 and self._may_trim():
+            self._trim()
+        budget.set(MemoryUse.UNCOUNTED, max(0, self._uncounted_bytes()))
         if budget.is_short and not self._was_short:
             log.warning("memory_short waiting=%d %s", budget.waiting_count(), self._summary())
         self._was_short = budget.is_short
 
+    def _may_trim(self) -> bool:
+        """Return whether memory is used to a degree that makes a trim worth its time."""
+        used_bytes = self._process.resident_bytes() - self.at_rest_bytes
+        is_due = self._loop.time() >= self._next_trim_at_s
+        return is_due and used_bytes >= TRIM_FRACTION * self._budget.capacity_bytes
+
+    def _trim(self) -> None:
+        """Collect garbage, as closed connections are part of cycles, and return free memory."""
+        started_at_s = time.monotonic()
+        gc.collect()
+        self._process.return_free_memory()
+        pause_s = TRIM_PAUSE_FACTOR * (time.monotonic() - started_at_s)
+        self._next_trim_at_s = self._loop.time() + max(MIN_TRIM_INTERVAL_S, pause_s)
+
     def _uncounted_bytes(self) -> int:
         """Return the resident memory beyond that at rest, what is counted, and the margin."""
         counted_bytes = sum(self._budget.held.values()) - self._budget.held[MemoryUse.UNCOUNTED]
