--- a/soak/checks/attempts.py
+++ b/soak/checks/attempts.py
@@ -15,12 +15,20 @@
     found = []
     for seen in history.record.requests:
         for attempt in history.attempts_of(seen.request_id):
-            is_later = seen.sent_again_at is not None and attempt.first_byte_at >= seen.sent_again_at
+            sent_again_at = _sent_again_at(seen)
+            is_later = sent_again_at is not None and attempt.first_byte_at >= sent_again_at
             if attempt.gateway == seen.gateway and attempt.last_byte_at >= seen.sent_at and not is_later:
                 found += _check_attempt(history, seen, attempt)
     return found
 
 
+def _sent_again_at(seen: RequestSeen) -> float | None:
+    """Return when the client sent the request once more, with a body of its own; None if it did not."""
+    if seen.is_retried and seen.connection_end is not None:
+        return seen.connection_end.at
+    return seen.sent_again_at
+
+
 def _check_attempt(history: History, seen: RequestSeen, attempt: AttemptSeen) -> list[Violation]:
     found = []
     slack_s = history.timing.slack_s(seen.gateway, seen.sent_at, attempt.last_byte_at)
