Queued connections are not closed for their age again

Cause: closed whoever had waited over 0.25 s while the gateway was full, so a well-behaved client could be closed twice in a row.

--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -72,9 +72,7 @@
         if sock is None:
             self._inherited_descriptor = None
             sock = await retry_transient(self._bind)
-        self._listener = Listener(
-            sock, self._new_connection, self._has_capacity, self._is_full, self.context.stall_detector
-        )
+        self._listener = Listener(sock, self._new_connection, self._has_capacity, self.context.stall_detector)
         self.context.stall_detector.start()
         self.timeout_checker.start()
 
@@ -113,13 +111,9 @@
         """Return how many bytes of memory the first requests of connections wait for."""
         return self._memory.waiting_bytes() if self._memory.is_short else 0
 
-    def _is_full(self) -> bool:
-        """Return whether the limit on connections is reached."""
-        return self.connection_count() + self._connecting_count() >= self.max_connections
-
     def _has_capacity(self) -> bool:
         """Return whether one more connection can be accepted, evicting another one if necessary."""
-        if not self._is_full():
+        if self.connection_count() + self._connecting_count() < self.max_connections:
             return True
         client = next(self._evictable(self.time()), None)
         if client is None:
--- a/qos_gateway/server/clients/listener.py
+++ b/qos_gateway/server/clients/listener.py
@@ -12,7 +12,6 @@
 from ..config import Address
 from ..observability.logs import RateLimitFilter
 from .loop_stalls import LoopStallDetector
-from .socket_protocol import ages_of_socket
 
 log = logging.getLogger(__name__)
 log.addFilter(RateLimitFilter())
@@ -48,12 +47,6 @@
     return socket.create_server(address, family=family, backlog=backlog)
 
 
-def _was_queued_too_long(sock: socket.socket) -> bool:
-    """Return whether a client connected so long ago that it does better to send its request again."""
-    ages = ages_of_socket(sock)
-    return ages is not None and ages.last_sent_s > MAX_QUEUE_TIME_S
-
-
 class Listener:
     """Accepts connections only while there is capacity for them.
 
@@ -66,7 +59,6 @@
         sock: socket.socket,
         protocol_factory: Callable[[float | None], asyncio.BaseProtocol],
         has_capacity: Callable[[], bool],
-        is_full: Callable[[], bool],
         stall_detector: LoopStallDetector,
     ) -> None:
         """`protocol_factory` takes the time since which the connection may have been queued, if any."""
@@ -75,7 +67,6 @@
         self._sock = sock
         self._protocol_factory = protocol_factory
         self._has_capacity = has_capacity
-        self._is_full = is_full
         self._stall_detector = stall_detector
         # Since when connections may have been queued; None while each is accepted on arrival.
         self._queued_since_s: float | None = 0.0  # an inherited socket may already hold some
@@ -83,7 +74,7 @@
         self._connecting: set[asyncio.Task[None]] = set()  # each sets up an accepted connection
         self._accept_poll = select.poll()
         self._accept_poll.register(sock.fileno(), select.POLLIN)
-        # Time since which the queue has not been empty, and capacity was lacking; None otherwise.
+        # Time since which queued connections have lacked capacity; None otherwise.
         self._at_capacity_since_s: float | None = None
         self._resume_timer: asyncio.TimerHandle | None = None
         self.is_open = True
@@ -119,16 +110,12 @@
                 self._at_capacity_since_s = None
                 self._queued_since_s = None
                 return
-            if self._is_full():
-                self._at_capacity_since_s = self._at_capacity_since_s or self._loop.time()
             if self._has_capacity():
+                self._at_capacity_since_s = None
                 sock = self._accept()
                 if sock is None:
                     return
-                if self._at_capacity_since_s is not None and _was_queued_too_long(sock):
-                    sock.close()
-                else:
-                    self._start_connecting(sock)
+                self._start_connecting(sock)
             elif self._has_queued_too_long():
                 sock = self._accept()
                 if sock is None:
--- a/qos_gateway/server/clients/socket_protocol.py
+++ b/qos_gateway/server/clients/socket_protocol.py
@@ -60,11 +60,7 @@
 
 def socket_ages(transport: asyncio.Transport) -> SocketAges | None:
     """Return the ages of the open socket's data; None if the system does not report them."""
-    return ages_of_socket(transport.get_extra_info("socket"))
-
-
-def ages_of_socket(sock: socket.socket) -> SocketAges | None:
-    """Return the ages of an open socket's data; None if the system does not report them."""
+    sock = transport.get_extra_info("socket")
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
     except OSError:
