Log and count what the system still holds of a client's connection at its close

Change: client_closed has unacknowledged_bytes and unread_bytes, and client_closes_undelivered counts the closes with any, by reason. The queries of a socket's queues move to networking, as other connections need them too.

--- a/qos_gateway/edge_names.py
+++ b/qos_gateway/edge_names.py
@@ -189,6 +189,7 @@
     REJECTIONS = "rejections"  # values: `RejectReason` in types/actions.py
     RETRIES = "retries"  # values: `RetryCause`
     CLIENT_CLOSES = "client_closes"  # values: `CloseReason`
+    UNDELIVERED_CLIENT_CLOSES = "client_closes_undelivered"  # values: `CloseReason`
     VIOLATIONS = "violations"  # values: `Invariant`
     MEMORY_HELD = "memory_held"  # values: `MemoryUse`
     MEMORY_CAPACITY = "memory_capacity"
--- a/qos_gateway/server/clients/close_guard.py
+++ b/qos_gateway/server/clients/close_guard.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Sequence
 
+from ..networking.socket_queues import SocketQueues
 from ..observability.close_reasons import CLIENT_CAUSED_REASONS, CloseReason
 from ..observability.invariants import Invariant, InvariantMonitor
 from ..observability.metrics import Metrics
@@ -23,13 +24,22 @@
         self._metrics = metrics
         self._client_id = client_id
 
-    def check(self, reason: CloseReason, unanswered: Sequence[int], has_deferred_input: bool) -> None:
+    def check(
+        self,
+        reason: CloseReason,
+        unanswered: Sequence[int],
+        has_deferred_input: bool,
+        queues: SocketQueues,
+    ) -> None:
         """Log a connection that is about to close, and report requests that the gateway leaves unanswered.
 
-        Nothing is reported if the client caused the close, as no reply could reach it.
+        `queues` is what the system still holds of the connection. Nothing is reported if the client caused
+        the close, as no reply could reach it.
         """
         request_ids = [self._client_id(number) for number in unanswered]
-        _log_close(reason, request_ids)
+        _log_close(reason, request_ids, queues)
+        if not queues.is_empty:
+            self._metrics.undelivered_client_closes[reason] += 1
         if reason in CLIENT_CAUSED_REASONS:
             return
         for request_id in request_ids:
@@ -42,11 +52,13 @@
         self._metrics.client_closes[reason] += 1
 
 
-def _log_close(reason: CloseReason, unanswered: Sequence[bytes]) -> None:
+def _log_close(reason: CloseReason, unanswered: Sequence[bytes], queues: SocketQueues) -> None:
     """Log a closed connection, at debug level because every client causes one such line."""
     if log.isEnabledFor(logging.DEBUG):
         log.debug(
-            "client_closed reason=%s unanswered=%s",
+            "client_closed reason=%s unanswered=%s unacknowledged_bytes=%d unread_bytes=%d",
             reason.value,
             b",".join(unanswered).decode() or "none",
+            queues.unacknowledged_bytes,
+            queues.unread_bytes,
         )
--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -6,6 +6,13 @@
 from typing import Protocol
 
 from ..memory.budget import Priority
+from ..networking.socket_queues import (
+    SocketQueues,
+    has_unread_bytes,
+    socket_queues,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 from ..networking.value_stream import FlowControl
 from ..observability.close_reasons import CloseReason
 from ..observability.memory_uses import MemoryUse
@@ -13,14 +20,7 @@
 from .commands import BUSY_REPLY, error_reply
 from .connection_input import MAX_PIPELINED, ConnectionContext, ConnectionInput
 from .pending_replies import PendingReply, ReplyQueue
-from .socket_protocol import (
-    ClientSocketProtocol,
-    SocketAges,
-    has_unread_bytes,
-    socket_ages,
-    unacknowledged_bytes,
-    unread_bytes,
-)
+from .socket_protocol import ClientSocketProtocol, SocketAges, socket_ages
 from .streamed_reply import StreamedReply
 
 
@@ -105,7 +105,8 @@
         close_guard = self._context.close_guard
         if self._close_reason is None:
             self._close_reason = CloseReason.CLIENT_CLOSED
-            close_guard.check(self._close_reason, self._replies.unanswered(), False)
+            queues = SocketQueues(self._transport.get_write_buffer_size(), unread_bytes=0)
+            close_guard.check(self._close_reason, self._replies.unanswered(), False, queues)
         close_guard.connection_ended(self._close_reason)
         self._observer.connection_closed(self)
         self._context.scheduler.discard(self)
@@ -364,4 +365,5 @@
         if self._close_reason is None and not self._transport.is_closing():
             self._close_reason = reason
             has_deferred_input = bool(self.input.deferred)
-            self._context.close_guard.check(reason, self._replies.unanswered(), has_deferred_input)
+            queues = socket_queues(self._transport)
+            self._context.close_guard.check(reason, self._replies.unanswered(), has_deferred_input, queues)
--- a/qos_gateway/server/clients/socket_protocol.py
+++ b/qos_gateway/server/clients/socket_protocol.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import select
 import socket
 import struct
-import termios
 from dataclasses import dataclass
 from typing import cast
 
+from ..networking.socket_queues import hangup_poll, unacknowledged_bytes
+
 HALF_CLOSE_TIMEOUT_S = 0.75  # input is read and discarded for this time after the last reply
-_IOCTL_INT_FORMAT = "i"  # result of the ioctl requests below, as a `struct` format
 # `struct tcp_info` in linux/tcp.h: 8 bytes, then 32-bit fields; these two are in ms.
 _LAST_DATA_SENT_OFFSET = 44
 _LAST_DATA_RECEIVED_OFFSET = 52
@@ -31,33 +30,6 @@
     last_sent_s: float
 
 
-def _queued_bytes(transport: asyncio.Transport, request: int) -> int:
-    descriptor = transport.get_extra_info("socket").fileno()
-    result = fcntl.ioctl(descriptor, request, bytes(struct.calcsize(_IOCTL_INT_FORMAT)))
-    return int(struct.unpack(_IOCTL_INT_FORMAT, result)[0])
-
-
-def has_unread_bytes(transport: asyncio.Transport) -> bool:
-    """Return whether the open socket's receive buffer holds bytes."""
-    return unread_bytes(transport) != 0
-
-
-def unread_bytes(transport: asyncio.Transport) -> int:
-    """Return how many bytes the open socket's receive buffer holds."""
-    return _queued_bytes(transport, termios.FIONREAD)
-
-
-def unacknowledged_bytes(transport: asyncio.Transport) -> int:
-    """Return how many written bytes the client has not acknowledged.
-
-    Counts the transport's buffer and the kernel's, because with a slow reader the kernel's shrinks first.
-    """
-    buffered = transport.get_write_buffer_size()
-    if transport.is_closing():
-        return buffered
-    return buffered + _queued_bytes(transport, termios.TIOCOUTQ)
-
-
 def socket_ages(transport: asyncio.Transport) -> SocketAges | None:
     """Return the ages of the open socket's data; None if the system does not report them."""
     sock = transport.get_extra_info("socket")
@@ -74,16 +46,6 @@
     )
 
 
-def hangup_poll(transport: asyncio.Transport) -> select.poll:
-    """Return a poll object that reports an event once the client has closed or shut down its sending side.
-
-    The event loop may notice this late, as it reads all input first and may lag behind.
-    """
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    return poll
-
-
 class WriteProgress:
     """Tracks whether a client acknowledges data while the write buffer is full."""
 
--- a/qos_gateway/server/observability/metrics.py
+++ b/qos_gateway/server/observability/metrics.py
@@ -41,6 +41,8 @@
         self.rejections = dict.fromkeys(RejectReason, 0)
         self.retries = dict.fromkeys(RetryCause, 0)
         self.client_closes = dict.fromkeys(CloseReason, 0)
+        # Those with written bytes that the client had not acknowledged, or with unread ones.
+        self.undelivered_client_closes = dict.fromkeys(CloseReason, 0)
         self.violations: Mapping[Invariant, int] = {} if violations is None else violations
 
     def count_request(self, class_index: int, result: RequestResult) -> None:
@@ -86,6 +88,7 @@
     lines += _render_counters(MetricName.REJECTIONS, metrics.rejections)
     lines += _render_counters(MetricName.RETRIES, metrics.retries)
     lines += _render_counters(MetricName.CLIENT_CLOSES, metrics.client_closes)
+    lines += _render_counters(MetricName.UNDELIVERED_CLIENT_CLOSES, metrics.undelivered_client_closes)
     lines += _render_counters(
         MetricName.VIOLATIONS, {label: metrics.violations.get(label, 0) for label in Invariant}
     )
--- a/tests/server/test_metrics.py
+++ b/tests/server/test_metrics.py
@@ -25,6 +25,7 @@
     metrics.rejections[RejectReason.QUOTA] += 2
     metrics.retries[RetryCause.CONNECT_FAILED] += 3
     metrics.client_closes[CloseReason.EVICTED] += 4
+    metrics.undelivered_client_closes[CloseReason.DRAINED] += 3
     monitor.report(Invariant.CLOSE, "unanswered_idle", b"9b1f03aa5c7e2d41")
     gauges = Gauges(
         open_requests=14,
@@ -83,6 +84,16 @@
         "edge_router.client_closes.memory:0|c",
         "edge_router.client_closes.value_aborted:0|c",
         "edge_router.client_closes.shutdown:0|c",
+        "edge_router.client_closes_undelivered.client_closed:0|c",
+        "edge_router.client_closes_undelivered.hangup_seen:0|c",
+        "edge_router.client_closes_undelivered.idle:0|c",
+        "edge_router.client_closes_undelivered.evicted:0|c",
+        "edge_router.client_closes_undelivered.drained:3|c",
+        "edge_router.client_closes_undelivered.protocol_error:0|c",
+        "edge_router.client_closes_undelivered.write_stalled:0|c",
+        "edge_router.client_closes_undelivered.memory:0|c",
+        "edge_router.client_closes_undelivered.value_aborted:0|c",
+        "edge_router.client_closes_undelivered.shutdown:0|c",
         "edge_router.violations.send:0|c",
         "edge_router.violations.repeat:0|c",
         "edge_router.violations.close:1|c",
