--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from tests.support.known_failures import KnownFailure, is_listed, read_known_failures
+from tests.support.known_failures import (
+    KnownFailure,
+    is_listed,
+    missing_parameters,
+    read_known_failures,
+)
 
 LIST_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 RUN_OPTION = "--run-known-red"
@@ -23,6 +28,9 @@
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     known = config.stash[KNOWN_FAILURES]
+    missing = missing_parameters((item.nodeid for item in items), known)
+    if missing:
+        raise pytest.UsageError(f"{LIST_PATH.name}: no such test: {', '.join(missing)}")
     if config.getoption(RUN_OPTION) or not known:
         return
     left_out = [item for item in items if is_listed(item.nodeid, known)]
