Close a client's socket only once its replies have arrived, or it does not read

Cause: is_idle took a written reply for a delivered one, and drain, idle time-out, eviction, aborted value and the end after a protocol error closed the socket each on its own. The client's next request then met a closed socket, and the system reset the connection and dropped what was not acknowledged. Change: ConnectionCloser is the only owner of ended connections, LingeringClose the rule: nothing more is read, the sending side is shut down behind the last reply, and the socket is closed once the client has closed its side, has everything and is quiet, or does not read. Acknowledgements in steps show who reads. Eviction takes clients that have everything, last those that do not read. From 0.7 s after SIGTERM commands behind others without a reply get -BUSY, as their connections never became idle. The close guard reports replies that a close may lose.

--- a/qos_gateway/server/clients/accept_drain.py
+++ b/qos_gateway/server/clients/accept_drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from math import inf
 from typing import Protocol
 
 from ..observability.close_reasons import CloseReason
@@ -13,16 +14,22 @@
 MAX_ACCEPT_PERIOD_S = 0.9  # bounds the wait, as some clients bypass the load balancer and keep connecting
 FIRST_COMMAND_GRACE_S = 0.5  # a new client has this time to send its first command
 DRAIN_CHECK_INTERVAL_S = 0.02
+# From this time after the start of the drain, commands that follow others without a reply are rejected:
+# clients that always have some in flight would keep their connections from becoming idle.
+PIPELINING_GRACE_S = 0.7
 
 
 class DrainState:
     """Progress of the graceful shutdown; updated by `ConnectionDrainer`."""
 
-    __slots__ = ("closes_idle", "is_draining")
+    __slots__ = ("closes_idle", "deadline_s", "is_draining", "rejects_pipelined")
 
     def __init__(self) -> None:
         self.is_draining = False  # the process is stopping
-        self.closes_idle = False  # connections are closed as soon as they become idle
+        self.closes_idle = False  # connections are ended as soon as they become idle
+        self.rejects_pipelined = False  # commands that follow others without a reply are rejected
+        # From then on, ended connections are kept only for clients that are still reading.
+        self.deadline_s = inf
 
 
 class DrainedConnection(Protocol):
@@ -37,10 +44,10 @@
         """The time in seconds at which the connection was opened or last became idle."""
 
     def is_idle(self) -> bool:
-        """Return whether it can be closed without losing a command or a reply."""
+        """Return whether it can be ended without losing a command."""
 
-    def close(self, reason: CloseReason) -> None:
-        """Close once the written replies are sent."""
+    def end(self, reason: CloseReason) -> None:
+        """End the connection; the written replies are delivered."""
 
     def reject_partial_command(self) -> None:
         """Reply with an error to an incomplete command, and execute no further commands."""
@@ -73,7 +80,7 @@
 
 
 class ConnectionDrainer:
-    """Stops accepting connections, then closes each open one once it is idle.
+    """Stops accepting connections, then ends each open one once it is idle.
 
     A listening socket inherited from the platform is closed at once: the next process accepts the connections
     in its queue. A socket that this process created stays open until no new connection has arrived for
@@ -87,16 +94,18 @@
         self._clients = clients
         self._state = state
         self._owns_socket = owns_socket
-        # Idle connections are closed from this time on.
+        # Idle connections are ended from this time on.
         self._closing_from_s = now_s + ACCEPT_QUIET_PERIOD_S if owns_socket else now_s
         self._accept_until_s = now_s + MAX_ACCEPT_PERIOD_S if owns_socket else now_s
+        self._reject_pipelined_from_s = now_s + PIPELINING_GRACE_S
         # Incomplete commands are rejected and their connections closed from this time on.
         self._finish_from_s = self._closing_from_s + max_drain_s
 
     async def run(self) -> None:
         """Return once the listening socket is closed and no connection is open.
 
-        Clients with open requests keep their connections, as each request ends by its deadline.
+        Clients with open requests keep their connections, as each request ends by its deadline, and ended
+        ones are kept open by the connection closer until the client has everything.
         """
         self._state.is_draining = True
         clients = self._clients
@@ -104,9 +113,10 @@
             now_s = clients.time()
             if clients.is_listening() and self._is_accepting_over(now_s):
                 self._stop_listening()
+            self._state.rejects_pipelined = now_s >= self._reject_pipelined_from_s
             self._state.closes_idle = now_s >= self._closing_from_s
             if self._state.closes_idle:
-                self._close_connections(now_s)
+                self._end_connections(now_s)
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     def _is_accepting_over(self, now_s: float) -> bool:
@@ -119,10 +129,10 @@
         if not (self._owns_socket and self._clients.has_queued_connection()):
             self._clients.stop_listening()
 
-    def _close_connections(self, now_s: float) -> None:
+    def _end_connections(self, now_s: float) -> None:
         for client in self._clients.connections():
             may_close = client.has_sent_command or client.idle_since_s < now_s - FIRST_COMMAND_GRACE_S
             if may_close and client.is_idle():
-                client.close(CloseReason.DRAINED)
+                client.end(CloseReason.DRAINED)
             elif now_s >= self._finish_from_s:
                 client.reject_partial_command()
--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from ..memory.budget import Priority
+from ..networking.lingering_close import CloseDecision
 from ..networking.socket_queues import (
     SocketQueues,
     has_unread_bytes,
@@ -44,8 +45,9 @@
     Partial: a command is incomplete, and no reply is pending.
     Awaiting replies: a command has no reply yet, or input is deferred.
     Blocked: the write buffer is full because the client does not read, so its input is not read either.
-    Ending: the input is closed, and pending replies are still being written.
-    Half closed: the input is closed, and all replies have been written.
+    Ending: the input is closed, and replies are still pending.
+    Half closed: the input is closed, and so is the sending side once the written replies are sent. The
+    `ConnectionCloser` closes the socket as soon as that loses nothing.
     """
 
     memory_use = MemoryUse.COMMANDS  # of the memory that it may wait for
@@ -53,6 +55,7 @@
     __slots__ = (
         "_close_reason",
         "_context",
+        "_end_reason",
         "_observer",
         "_queued_since_s",
         "_replies",
@@ -70,7 +73,8 @@
         self._context = context
         self._replies: ReplyQueue  # set by `connection_made`
         self.input: ConnectionInput  # set by `connection_made`
-        self._close_reason: CloseReason | None = None  # None until it is closed
+        self._end_reason = CloseReason.PROTOCOL_ERROR  # of the end that follows the last reply
+        self._close_reason: CloseReason | None = None  # None until it is ended
         # Time at which the connection was opened or last became idle.
         self.idle_since_s = context.time()
 
@@ -105,21 +109,20 @@
         close_guard = self._context.close_guard
         if self._close_reason is None:
             self._close_reason = CloseReason.CLIENT_CLOSED
-            queues = SocketQueues(self._transport.get_write_buffer_size(), unread_bytes=0)
-            close_guard.check(self._close_reason, self._replies.unanswered(), False, queues)
+            close_guard.check_answered(self._close_reason, self._replies.unanswered(), False)
         close_guard.connection_ended(self._close_reason)
+        self._context.closer.discard(self)
         self._observer.connection_closed(self)
         self._context.scheduler.discard(self)
         self.input.release_memory(self)
-        for request_number in self._replies.discard():
-            self._context.requests.client_disconnected(request_number)
+        self._give_up_requests()
 
     # States.
 
     def is_idle(self) -> bool:
-        """Return whether it can be closed without losing a command or a reply.
+        """Return whether it can be ended without losing a command.
 
-        Replies already written need no wait: the transport still sends them after a close.
+        Replies already written need no wait, as `end` delivers them.
         """
         client_input = self.input
         busy = (
@@ -130,6 +133,10 @@
         )
         return not (busy or self._transport.is_closing() or has_unread_bytes(self._transport))
 
+    def is_delivered(self) -> bool:
+        """Return whether its client has acknowledged all replies, and no received byte is unread."""
+        return not self._transport.is_closing() and socket_queues(self._transport).is_empty
+
     def is_awaiting_replies(self) -> bool:
         """Return whether a command has no reply yet, or input is deferred."""
         return bool(self._replies.pending or self.input.deferred)
@@ -225,8 +232,11 @@
         return self.input.command_memory.size_bytes if is_old else 0
 
     def unread_memory_held(self, now_s: float, min_age_s: float) -> int:
-        """Return the memory in bytes of replies of which the client has read nothing for `min_age_s`."""
-        if not self.blocked or not self.is_write_stalled(now_s, min_age_s):
+        """Return the memory in bytes of replies of which the client has read nothing for `min_age_s`.
+
+        Not of a client that has been reading, which has the time of any other blocked client.
+        """
+        if not self.blocked or self.is_reading_replies(now_s) or not self.is_write_stalled(now_s, min_age_s):
             return 0
         return self._replies.held_bytes
 
@@ -272,12 +282,12 @@
             return
         self.idle_since_s = self._context.time()
         if self.input.is_closed:
-            self.half_close(self.idle_since_s)
+            self._shut_down(self._end_reason)
         elif self.input.has_unprocessed_input(self):
             self._schedule_input()
         elif self._context.drain.closes_idle and self.is_idle():
             # The periodic check of the drain would rarely find a busy client idle.
-            self.close(CloseReason.DRAINED)
+            self.end(CloseReason.DRAINED)
 
     def start_stream(self, pending_reply: PendingReply, length: int, flow: FlowControl) -> StreamedReply:
         """Start a streamed reply, a large value of `length` bytes."""
@@ -309,8 +319,8 @@
             self.reply(pending_reply, reply)
             return
         log.warning("large_value_aborted client_connection=closed")
-        self.input.close(self)
-        self.close(CloseReason.VALUE_ABORTED)
+        self.idle_since_s = self._context.time()
+        self.end(CloseReason.VALUE_ABORTED)
 
     def pause_writing(self) -> None:
         """Stop reading from the client, and from the endpoint whose value is being streamed."""
@@ -328,9 +338,12 @@
     # Closing.
 
     def fail(self, reason: str) -> None:
-        """Reply with a protocol error and close the input; earlier commands still get their replies."""
+        """Reply with a protocol error and close the input; earlier commands still get their replies.
+
+        Further input is discarded, as the start of the next command is unknown.
+        """
         log.warning("client_protocol_error error=%s", reason)
-        self._reply_and_end(error_reply(f"Protocol error: {reason}"))
+        self._reply_and_end(error_reply(f"Protocol error: {reason}"), discards_input=True)
 
     def reject_partial_command(self) -> None:
         """Reply with BUSY to an incomplete command at the end of a drain, and execute no further commands.
@@ -339,31 +352,99 @@
         connection is closed.
         """
         if not (self.is_awaiting_replies() or self.input.is_closed or self._transport.is_closing()):
+            self._end_reason = CloseReason.DRAINED
             self._reply_and_end(BUSY_REPLY)
 
-    def _reply_and_end(self, reply: bytes) -> None:
-        """Close the input, and half-close the connection after this last reply."""
+    def _reply_and_end(self, reply: bytes, discards_input: bool = False) -> None:
+        """Close the input, and end the connection after this last reply."""
         self.input.reader.stop_timeout()
-        self.input.close(self)
+        self.input.close(self, discards_input)
         pending_reply = PendingReply(self)
         self._replies.add(pending_reply)
         self.input.update_reading(self)
         self.reply(pending_reply, reply)
 
-    def close(self, reason: CloseReason) -> None:
-        """Close once the written replies are sent."""
-        self._note_close(reason)
-        self._transport.close()
+    def end(self, reason: CloseReason) -> None:
+        """End the connection without losing a written reply; what the client sends from now on is not read.
+
+        The sending side is shut down after the written replies, and the socket closed once they have arrived.
+        """
+        if self.is_half_closed or self._transport.is_closing():
+            return
+        self.input.close(self)
+        self.input.update_reading(self)
+        self._shut_down(reason)
+
+    def hang_up(self) -> None:
+        """End the connection of a client that has closed its sending side; its open requests are given up.
+
+        Written replies are still delivered, as the client may only have shut down its sending side.
+        """
+        if self.is_half_closed or self._transport.is_closing():
+            return
+        self._note_end(CloseReason.HANGUP_SEEN)
+        self._give_up_requests()
+        self.input.close(self, discards_input=True)
+        self.input.update_reading(self)
+        self._shut_down(CloseReason.HANGUP_SEEN)
+
+    def _give_up_requests(self) -> None:
+        for request_number in self._replies.discard():
+            self._context.requests.client_disconnected(request_number)
+
+    def _shut_down(self, reason: CloseReason) -> None:
+        """Shut down the sending side after the written replies, of which none is pending."""
+        if self.is_half_closed or self._transport.is_closing():
+            return
+        self._note_end(reason)
+        self.half_close(self._context.time(), self.idle_since_s)
+        self._context.hangup_monitor.discard(self)
+        self._context.closer.add(self)
+
+    def continue_closing(self, now_s: float, deadline_s: float) -> None:
+        """Close the half-closed socket if its client has received everything, or takes too long for it."""
+        queues = socket_queues(self._transport).without_end_of_stream()
+        match self.close_decision(now_s, queues, deadline_s):
+            case CloseDecision.CLOSE:
+                self._close_socket(queues)
+            case CloseDecision.ABANDON:
+                self._abandon(queues)
+            case CloseDecision.WAIT if self.has_hung_up():
+                # The client sends nothing more. Unread bytes would reset the connection in the end.
+                self.input.discard_remainder(self)
+
+    def evict(self) -> None:
+        """Close at once, to admit another connection; the client has everything, or reads nothing."""
+        queues = socket_queues(self._transport)
+        if queues.unacknowledged_bytes:
+            self._abandon(queues)
+        else:
+            self.abort(CloseReason.EVICTED)
+
+    def _abandon(self, queues: SocketQueues) -> None:
+        """Close at once, as the client does not read; whatever ended the connection, this is the reason."""
+        log.warning("client_abandoned unacknowledged_bytes=%d", queues.unacknowledged_bytes)
+        self._note_end(CloseReason.WRITE_STALLED)
+        self._close_reason = CloseReason.WRITE_STALLED
+        self._close_socket(queues)
 
     def abort(self, reason: CloseReason) -> None:
-        """Close at once."""
-        self._note_close(reason)
-        self._transport.abort()
+        """Close at once; what the client has not received may be lost."""
+        if self._transport.is_closing():
+            self._transport.abort()
+            return
+        self._note_end(reason)
+        self._close_socket(socket_queues(self._transport))
 
-    def _note_close(self, reason: CloseReason) -> None:
+    def _note_end(self, reason: CloseReason) -> None:
         """Record the first reason, and check for commands without a reply."""
-        if self._close_reason is None and not self._transport.is_closing():
+        if self._close_reason is None:
             self._close_reason = reason
             has_deferred_input = bool(self.input.deferred)
-            queues = socket_queues(self._transport)
-            self._context.close_guard.check(reason, self._replies.unanswered(), has_deferred_input, queues)
+            self._context.close_guard.check_answered(reason, self._replies.unanswered(), has_deferred_input)
+
+    def _close_socket(self, queues: SocketQueues) -> None:
+        """Close the socket, in which the system holds these bytes; the end was noted before."""
+        assert self._close_reason is not None
+        self._context.close_guard.check_delivered(self._close_reason, queues)
+        self._transport.abort()
--- a/qos_gateway/server/clients/connection_input.py
+++ b/qos_gateway/server/clients/connection_input.py
@@ -21,6 +21,7 @@
 from .command_memory import CommandMemory
 from .command_reader import DISCARDED, CommandReader, CommandSyntaxError
 from .commands import BUSY_REPLY, CommandExecutor, RequestHandler
+from .connection_closer import ConnectionCloser
 from .deferred_input import DeferredInput, InputChunk
 from .hangup_monitor import HangupMonitor
 from .input_scheduler import (
@@ -54,6 +55,7 @@
     buffers: BufferBudget
     streams: ActiveStreams
     close_guard: CloseGuard
+    closer: ConnectionCloser
     hangup_monitor: HangupMonitor
     drain: DrainState
 
@@ -62,7 +64,7 @@
     """The operations of a connection that its input uses."""
 
     def is_idle(self) -> bool:
-        """Return whether it can be closed without losing a command or reply."""
+        """Return whether it can be ended without losing a command."""
 
     def is_closing(self) -> bool:
         """Return whether the transport is closed or being closed."""
@@ -86,8 +88,8 @@
     def fail(self, reason: str) -> None:
         """End the connection after a protocol error."""
 
-    def close(self, reason: CloseReason) -> None:
-        """Close after all replies are written."""
+    def end(self, reason: CloseReason) -> None:
+        """End the connection; the written replies are delivered."""
 
 
 def _slice_time_s(connection: InputConnection) -> float:
@@ -111,6 +113,7 @@
         "_arrival_times",
         "_context",
         "_discarded_bytes",
+        "_discards_input",
         "_replies",
         "command_memory",
         "deferred",
@@ -128,9 +131,10 @@
         self.command_memory = CommandMemory(context.memory, self.reader, context.time)
         self._arrival_times = ArrivalTimes(context.time, context.stall_detector)
         self._discarded_bytes = 0
+        self._discards_input = False  # input that comes after the close is read and discarded
         self.has_sent_command = False  # the client has sent at least one complete command
         self.is_parsing = False  # a command is being executed, and more may follow in the same data
-        self.is_closed = False  # no further command is executed; input is discarded
+        self.is_closed = False  # no further command is executed
 
     def note_queued_since(self, queued_since_s: float) -> None:
         """Record that bytes arrived before the accept, no earlier than this time."""
@@ -222,7 +226,7 @@
         try:
             while position < len(data) and not self.is_closed:
                 may_execute = self._may_execute(connection)
-                if now_s >= ends_at_s or not (may_execute or sheds):
+                if now_s >= ends_at_s or not (may_execute or sheds or self._rejects_pipelined()):
                     chunk.position = position
                     self.deferred.prepend(chunk)
                     break
@@ -249,7 +253,7 @@
         finally:
             self.is_parsing = False
         if context.drain.closes_idle and connection.is_idle():
-            connection.close(CloseReason.DRAINED)
+            connection.end(CloseReason.DRAINED)
 
     def _may_execute(self, connection: InputConnection) -> bool:
         """Return whether the next command may be executed now.
@@ -259,8 +263,14 @@
         """
         open_count = len(self._replies.pending)
         has_capacity = not open_count or (open_count < MAX_PIPELINED and self._has_additional_memory())
+        if self._rejects_pipelined():
+            return False
         return has_capacity and not (connection.blocked or self._replies.is_streaming_value())
 
+    def _rejects_pipelined(self) -> bool:
+        """Return whether a command that follows others without a reply is rejected, as the process stops."""
+        return bool(self._replies.pending) and self._context.drain.rejects_pipelined
+
     def _has_additional_memory(self) -> bool:
         """Return whether there is memory for more than the first command of a connection."""
         return self._context.memory.has_room(0, Priority.ADDITIONAL)
@@ -277,7 +287,7 @@
         """Return whether a deferred command may be executed, or has to be rejected."""
         if not self.deferred or self.is_closed:
             return False
-        return self._may_execute(connection) or self._has_to_shed()
+        return self._may_execute(connection) or self._has_to_shed() or self._rejects_pipelined()
 
     def _may_read(self, connection: InputConnection) -> bool:
         """Return whether more commands may be read."""
@@ -307,19 +317,28 @@
         if self._is_runnable(connection):
             self._context.scheduler.add(connection, has_used_slice)
 
-    def close(self, connection: InputConnection) -> None:
-        """Stop executing commands, and discard further input; what is deferred stays until the end."""
+    def close(self, connection: InputConnection, discards_input: bool = False) -> None:
+        """Stop executing commands, and read nothing more or discard it; what is deferred stays until the end.
+
+        A request that is read must be answered. One that is left unread is sent again by its client.
+        """
         self.is_closed = True
+        self._discards_input = discards_input
         self.reader.discard_partial()
         self.command_memory.release(connection)
 
+    def discard_remainder(self, connection: InputConnection) -> None:
+        """Read and discard what is left, as the client has closed its sending side."""
+        self._discards_input = True
+        self.update_reading(connection)
+
     def update_reading(self, connection: InputConnection, restarts_timeout: bool = True) -> None:
         """Resume or pause reading; while it is paused, watch for the client to disconnect.
 
         The timeout of an incomplete command is restarted unless the command itself waited for memory.
         """
         if self.is_closed:
-            may_read = self._discarded_bytes <= MAX_DISCARDED_BYTES
+            may_read = self._discards_input and self._discarded_bytes <= MAX_DISCARDED_BYTES
         else:
             may_read = self._may_read(connection)
         if connection.set_reading(may_read):
--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -21,6 +21,7 @@
 from .close_guard import CloseGuard
 from .commands import CommandExecutor, RequestHandler
 from .connection import ClientConnection
+from .connection_closer import ConnectionCloser
 from .connection_input import ConnectionContext
 from .hangup_monitor import HangupMonitor
 from .input_scheduler import InputScheduler
@@ -118,24 +119,36 @@
         client = next(self._evictable(self.time()), None)
         if client is None:
             return False
-        client.close(CloseReason.EVICTED)
+        client.evict()
         self.connection_closed(client)
         return True
 
     def _evictable(self, now_s: float) -> Iterator[ClientConnection]:
-        """Yield idle connections, then those with an incomplete command, in the order of eviction.
+        """Yield connections in the order of eviction: ended, idle, and those with an incomplete command.
 
+        Clients that have not received all replies come last and only if they do not read, as the close loses
+        what has not arrived.
         Connections that were opened or became idle only just now are exempt. Otherwise clients that reconnect
         in a loop would evict others before these can send a command.
         """
         clients = self.connections()
         for client in clients:
-            if now_s - client.idle_since_s >= MIN_IDLE_BEFORE_EVICTION_S and client.is_idle():
+            if client.is_half_closed and client.is_delivered():
+                yield client
+        for client in clients:
+            is_old = now_s - client.idle_since_s >= MIN_IDLE_BEFORE_EVICTION_S
+            if is_old and client.is_idle() and client.is_delivered():
                 yield client
         for client in clients:
             is_old = client.partial_command_age_s(now_s) >= MIN_PARTIAL_BEFORE_EVICTION_S
             # Unread bytes may complete the command, unless there is no memory to read them.
-            if is_old and (client.memory_wait_s(now_s) or not client.has_unread_bytes()):
+            may_read_on = client.has_unread_bytes() and not client.memory_wait_s(now_s)
+            if is_old and not may_read_on and not client.unacknowledged_bytes():
+                yield client
+        for client in clients:
+            is_old = now_s - client.idle_since_s >= MIN_IDLE_BEFORE_EVICTION_S
+            may_evict = client.is_half_closed or client.is_idle()
+            if is_old and may_evict and not client.is_reading_replies(now_s):
                 yield client
 
     # The set of connections.
@@ -198,8 +211,13 @@
         if self._listener is not None:
             self._listener.close()
 
-    async def drain(self) -> None:
-        """Accept until no new connections arrive, answer all requests, and close idle connections."""
+    async def drain(self, deadline_s: float) -> None:
+        """Accept until no new connections arrive, answer all requests, and end idle connections.
+
+        From `deadline_s` on, which is on the event loop's clock, clients that read no replies are not waited
+        for.
+        """
+        self.context.drain.deadline_s = deadline_s
         owns_socket = self._inherited_descriptor is None
         self.last_connected_at_s = self.time()
         await ConnectionDrainer(self, self.context.drain, owns_socket, self._max_drain_s).run()
@@ -209,6 +227,7 @@
         """Close the listening socket and all connections at once."""
         self.timeout_checker.stop()
         self.context.hangup_monitor.close()
+        self.context.closer.stop()
         self.context.stall_detector.close()
         self.stop_listening()
         for client in self.connections():
@@ -220,6 +239,7 @@
 ) -> ConnectionContext:
     """Build the context that all connections share."""
     loop = asyncio.get_running_loop()
+    drain = DrainState()
     return ConnectionContext(
         time=time.monotonic,
         stall_detector=LoopStallDetector(),
@@ -231,6 +251,7 @@
         buffers=BufferBudget(memory),
         streams=ActiveStreams(),
         close_guard=close_guard,
+        closer=ConnectionCloser(time.monotonic, drain),
         hangup_monitor=HangupMonitor(),
-        drain=DrainState(),
+        drain=drain,
     )
--- a/qos_gateway/server/clients/hangup_monitor.py
+++ b/qos_gateway/server/clients/hangup_monitor.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import Protocol
 
-from ..observability.close_reasons import CloseReason
-
 HANGUP_CHECK_INTERVAL_S = 0.05  # a disconnect must be detected within 0.3 s
 
 
@@ -19,12 +17,12 @@
     def has_hung_up(self) -> bool:
         """Return whether the client has closed or shut down its sending side."""
 
-    def abort(self, reason: CloseReason) -> None:
-        """Close at once."""
+    def hang_up(self) -> None:
+        """End the connection, as its client has closed its sending side."""
 
 
 class HangupMonitor:
-    """Aborts watched connections whose clients have closed or shut down their sending side."""
+    """Ends watched connections whose clients have closed or shut down their sending side."""
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
@@ -57,6 +55,6 @@
         self._schedule_check()
         for client in list(self._watched):
             if not client.is_closing() and client.has_hung_up():
-                client.abort(CloseReason.HANGUP_SEEN)
+                client.hang_up()
         if not self._watched:
             self.close()
--- a/qos_gateway/server/clients/pending_replies.py
+++ b/qos_gateway/server/clients/pending_replies.py
@@ -8,7 +8,6 @@
 
 from ..memory.budget import MemoryBudget, MemoryReservation, Priority
 from ..networking.value_stream import FlowControl
-from ..observability.close_reasons import CloseReason
 from ..observability.memory_uses import MemoryUse
 from .buffer_budgets import ActiveStreams, BufferBudget
 from .streamed_reply import StreamedReply, ValueConnection, ValueState
@@ -31,8 +30,8 @@
     def has_hung_up(self) -> bool:
         """Return whether the client has closed its sending side, which the loop may not have read yet."""
 
-    def abort(self, reason: CloseReason) -> None:
-        """Close immediately."""
+    def hang_up(self) -> None:
+        """End the connection, as its client has closed its sending side."""
 
     def memory_priority(self, pending_reply: PendingReply, /) -> Priority:
         """Return the priority of the memory that the request of this reply needs."""
@@ -208,7 +207,7 @@
         self._discard_stream(stream)
         if not stream.started:
             return False
-        pending_reply.reply = b""  # the client sees the failure as the end of the connection
+        self.pending.remove(pending_reply)  # the client sees the failure as the end of the connection
         return True
 
     def _discard_stream(self, stream: StreamedReply) -> None:
--- a/qos_gateway/server/clients/socket_protocol.py
+++ b/qos_gateway/server/clients/socket_protocol.py
@@ -1,4 +1,4 @@
-"""The socket of a client's connection: kernel buffers, reading, writing and half-closing."""
+"""The socket of a client's connection: ages of its data, reading, writing and half-closing."""
 
 from __future__ import annotations
 
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 from typing import cast
 
-from ..networking.socket_queues import hangup_poll, unacknowledged_bytes
+from ..networking.acknowledgements import Acknowledgements
+from ..networking.lingering_close import CloseDecision, LingeringClose
+from ..networking.socket_queues import SocketQueues, hangup_poll, socket_queues, unacknowledged_bytes
 
-HALF_CLOSE_TIMEOUT_S = 0.75  # input is read and discarded for this time after the last reply
 # `struct tcp_info` in linux/tcp.h: 8 bytes, then 32-bit fields; these two are in ms.
 _LAST_DATA_SENT_OFFSET = 44
 _LAST_DATA_RECEIVED_OFFSET = 52
@@ -76,13 +77,13 @@
     """The transport level of a connection: flow control, write stalls, hangups and half-closing."""
 
     __slots__ = (
-        "_final_write_progress",
+        "_acknowledgements",
         "_hangup_poll",
         "_is_reading",
+        "_lingering_close",
         "_read_buffer",
         "_transport",
         "_write_progress",
-        "half_close_ends_at_s",
     )
 
     def __init__(self, read_buffer: memoryview) -> None:
@@ -92,8 +93,8 @@
         self._hangup_poll: select.poll | None = None
         self._is_reading = True
         self._write_progress = WriteProgress()
-        self._final_write_progress = WriteProgress()  # tracked from the half-close on
-        self.half_close_ends_at_s = 0.0  # 0 before the half-close
+        self._acknowledgements = Acknowledgements()
+        self._lingering_close: LingeringClose | None = None  # None until the sending side is shut down
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the connection's transport."""
@@ -162,21 +163,39 @@
             self._transport.pause_reading()
         return True
 
-    def half_close(self, now_s: float) -> None:
-        """Shut down the sending side, and keep reading for `HALF_CLOSE_TIMEOUT_S`.
+    def unacknowledged_bytes(self) -> int:
+        """Return how many bytes of replies the client has not acknowledged."""
+        return unacknowledged_bytes(self._transport)
 
-        Closing a socket with unread input resets the connection, and the client may then lose replies that
-        it has not read yet.
+    def record_acknowledgements(self, now_s: float) -> None:
+        """Note whether the client has read since the last call, which is to be made a few times a second.
+
+        After the half-close `close_decision` does that.
         """
-        if not self.half_close_ends_at_s and not self._transport.is_closing():
-            self.half_close_ends_at_s = now_s + HALF_CLOSE_TIMEOUT_S
-            self._final_write_progress.block(now_s, unacknowledged_bytes(self._transport))
+        if not self.is_half_closed:
+            self._acknowledgements.record(now_s, self.unacknowledged_bytes())
+
+    def is_reading_replies(self, now_s: float) -> bool:
+        """Return whether the client has read replies that had to wait for it, not long ago."""
+        return self._acknowledgements.is_reading(now_s)
+
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the sending side is shut down, or will be once the written bytes are sent."""
+        return self._lingering_close is not None
+
+    def half_close(self, now_s: float, last_written_at_s: float) -> None:
+        """Shut down the sending side once the written bytes are sent; `close_decision` tells what follows."""
+        if self._lingering_close is None and not self._transport.is_closing():
+            queues = socket_queues(self._transport)
+            self._lingering_close = LingeringClose(now_s, last_written_at_s, queues, self._acknowledgements)
             self._transport.write_eof()
 
-    def is_half_close_over(self, now_s: float, stall_timeout_s: float) -> bool:
-        """Return whether a half-closed connection may be closed: its replies are sent, or stalled."""
-        if now_s < self.half_close_ends_at_s:
-            return False
-        unacknowledged = unacknowledged_bytes(self._transport)
-        is_written = not self._transport.get_write_buffer_size()
-        return is_written or self._final_write_progress.is_stalled(now_s, unacknowledged, stall_timeout_s)
+    def close_decision(self, now_s: float, queues: SocketQueues, deadline_s: float) -> CloseDecision:
+        """Return whether the half-closed connection may be closed.
+
+        After `deadline_s` only clients that are still reading may keep their connection.
+        """
+        assert self._lingering_close is not None  # callers ask after `half_close` only
+        is_buffered = self._transport.get_write_buffer_size() > 0
+        return self._lingering_close.decide(now_s, queues, self.has_hung_up(), is_buffered, deadline_s)
--- a/qos_gateway/server/clients/timeouts.py
+++ b/qos_gateway/server/clients/timeouts.py
@@ -19,7 +19,8 @@
 MEMORY_WAIT_TIMEOUT_S = 0.75
 # A blocked client that acknowledges nothing for this time is disconnected.
 WRITE_STALL_TIMEOUT_S = 2.0
-# The timeout is longer while a large value is written, as slow readers pause for longer.
+# The timeout is longer for clients that have been reading and while a large value is written, as slow readers
+# pause for longer.
 LARGE_WRITE_STALL_TIMEOUT_S = 5.0
 IDLE_TIMEOUT_S = 25.0  # shorter than the idle timeout of 30 s that is usual for clients
 # Idle connections are closed sooner while the number of connections is close to its limit.
@@ -43,7 +44,7 @@
 
 
 class TimeoutChecker:
-    """Checks all connections periodically, and closes those past their timeouts."""
+    """Checks all connections periodically, and ends those past their timeouts."""
 
     def __init__(self, connections: CheckedConnections) -> None:
         self._connections = connections
@@ -62,12 +63,13 @@
             self._timer.cancel()
 
     def check(self) -> None:
-        """Close the connections past their timeouts."""
+        """End the connections past their timeouts."""
         self.start()
         now_s = self._connections.time()
         is_near_limit = self._connections.is_near_limit()
         clients = self._connections.connections()
         for client in clients:
+            client.record_acknowledgements(now_s)
             enforce_timeouts(client, now_s, is_near_limit)
         needed_bytes = self._connections.memory_to_reclaim()
         if needed_bytes:
@@ -75,14 +77,14 @@
 
 
 def enforce_timeouts(client: ClientConnection, now_s: float, is_near_limit: bool) -> None:
-    """Close a connection that has exceeded the timeout of its state."""
-    if client.half_close_ends_at_s:
-        if client.is_half_close_over(now_s, WRITE_STALL_TIMEOUT_S):
-            client.abort(CloseReason.PROTOCOL_ERROR)
-    elif client.memory_wait_s(now_s) >= MEMORY_WAIT_TIMEOUT_S:
+    """End a connection that has exceeded the timeout of its state."""
+    if client.is_half_closed:
+        return  # the connection closer times it out
+    if client.memory_wait_s(now_s) >= MEMORY_WAIT_TIMEOUT_S:
         client.reject_for_memory()
     elif client.blocked:
-        timeout_s = LARGE_WRITE_STALL_TIMEOUT_S if client.is_writing_large_value() else WRITE_STALL_TIMEOUT_S
+        is_slow = client.is_writing_large_value() or client.is_reading_replies(now_s)
+        timeout_s = LARGE_WRITE_STALL_TIMEOUT_S if is_slow else WRITE_STALL_TIMEOUT_S
         if client.is_write_stalled(now_s, timeout_s):
             log.warning("client_write_stalled timeout_s=%.1f", timeout_s)
             client.abort(CloseReason.WRITE_STALLED)
@@ -92,7 +94,7 @@
     elif not client.is_awaiting_replies():
         timeout_s = _idle_timeout_s(client, is_near_limit)
         if now_s - client.idle_since_s >= timeout_s and client.is_idle():
-            client.close(CloseReason.IDLE)
+            client.end(CloseReason.IDLE)
 
 
 def _idle_timeout_s(client: ClientConnection, is_near_limit: bool) -> float:
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -105,9 +105,9 @@
         loop = asyncio.get_running_loop()
         report_until_s = loop.time() + longest_deadline_ns / SECOND + PEER_REPORT_TIME_S
         # Further requests are answered before the platform may kill this process.
-        kill_delay_ns = min(longest_deadline_ns, MAX_KILL_DEADLINE_NS) + KILL_DELAY_NS
-        parts.deadlines.latest_deadline = parts.clock() + kill_delay_ns - KILL_MARGIN_NS
-        await parts.clients.drain()
+        time_left_ns = min(longest_deadline_ns, MAX_KILL_DEADLINE_NS) + KILL_DELAY_NS - KILL_MARGIN_NS
+        parts.deadlines.latest_deadline = parts.clock() + time_left_ns
+        await parts.clients.drain(parts.clients.time() + time_left_ns / SECOND)
         check_stop(parts.observability.invariants, parts.requests.unanswered_count())
         parts.observability.activity.stop()
         await parts.discovery.close()
--- a/qos_gateway/server/networking/socket_queues.py
+++ b/qos_gateway/server/networking/socket_queues.py
@@ -23,6 +23,13 @@
     unacknowledged_bytes: int
     unread_bytes: int
 
+    def without_end_of_stream(self) -> SocketQueues:
+        """Return the queues of a connection whose sending side is shut down, without the end of its stream.
+
+        The system counts the end as a byte, which the peer acknowledges up to 40 ms later than what precedes.
+        """
+        return SocketQueues(max(0, self.unacknowledged_bytes - 1), self.unread_bytes)
+
     @property
     def is_empty(self) -> bool:
         """Whether a close can neither lose written bytes nor reset the connection."""
--- a/qos_gateway/server/requests/open_requests.py
+++ b/qos_gateway/server/requests/open_requests.py
@@ -8,7 +8,6 @@
 
 from ..clients.pending_replies import PendingReply
 from ..clients.request_parser import ClientRequest, InvalidCommandError
-from ..observability.close_reasons import CloseReason
 from ..observability.metrics import Metrics, RequestResult
 from .executed_requests import ExecutedRequests
 from .open_request import OpenRequest
@@ -59,7 +58,7 @@
         return len(self._open_ids)
 
     def client_has_disconnected(self, request: OpenRequest) -> bool:
-        """Return whether the client has closed its connection; if so, schedule an abort of that connection.
+        """Return whether the client has closed its connection; if so, schedule the end of that connection.
 
         No attempt may start more than 0.1 s after the client has disconnected, and the event loop may not
         have read the end of the connection yet. So this is checked before each attempt.
@@ -67,8 +66,7 @@
         client = request.pending_reply.client
         if not client.has_hung_up():
             return False
-        # The abort closes all requests of the connection.
-        self._loop.call_soon(client.abort, CloseReason.HANGUP_SEEN)
+        self._loop.call_soon(client.hang_up)  # which closes all requests of the connection
         return True
 
     def add(
--- a/tests/server/test_connection_ends.py
+++ b/tests/server/test_connection_ends.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from qos_gateway.server.clients import socket_protocol as client_socket
-from qos_gateway.server.clients import timeouts as client_timeouts
+from qos_gateway.server.clients import connection_closer
+from qos_gateway.server.networking import lingering_close
 from tests.support.clients import call_command
 from tests.support.event_loop import run_on_loop, wait_until, with_timeout
 from tests.support.fake_endpoint import success_reply
@@ -19,8 +19,8 @@
 def test_slow_client_receives_all_replies_before_the_close_after_a_protocol_error(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_socket, "HALF_CLOSE_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(client_timeouts, "CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(lingering_close, "DELIVERED_LINGER_S", 0.1)
+    monkeypatch.setattr(connection_closer, "CLOSE_CHECK_INTERVAL_S", 0.02)
     value = b"v" * 60_000
 
     async def test() -> None:
--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import tomllib
+from math import inf
 from pathlib import Path
 
 import pytest
@@ -85,7 +86,7 @@
             listener = clients._listener
             assert listener is not None
             await wait_until(lambda: listener.connecting_count == 1)
-            draining = asyncio.create_task(clients.drain())
+            draining = asyncio.create_task(clients.drain(inf))
             connection, _ = await harness.endpoint.next_command()
             assert not draining.done()
             connection.send(success_reply(b"v"))
