Deliver responses of the admin API before their connections are closed

Cause: as on clients' connections, a written response counted as delivered, and a call in progress as nothing. Change: the same lingering close; a call whose client shut down its sending side is answered; the server stops within 1 s, in which calls are answered; the place for a new connection is taken from one whose response has arrived.

--- a/qos_gateway/server/admin/connection.py
+++ b/qos_gateway/server/admin/connection.py
@@ -4,15 +4,18 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 from typing import Protocol, cast
 
+from ..networking.acknowledgements import Acknowledgements
+from ..networking.lingering_close import CloseDecision, LingeringClose
+from ..networking.socket_queues import socket_queues
 from .http import AdminRequest, HttpError, HttpExchange, HttpResponse
 from .routes import find_route
 
 # Covers the time from the connect to the complete request; operators wait 1 s for a response.
 REQUEST_TIMEOUT_S = 2.0
-# Covers the time from the response until the client closes the connection.
-CLOSE_TIMEOUT_S = 0.5
+CLOSE_CHECK_INTERVAL_S = 0.05  # between checks whether the response has arrived
 
 
 class AdminConnectionListener(Protocol):
@@ -38,6 +41,8 @@
         self._loop = asyncio.get_running_loop()
         self._exchange = HttpExchange(find_route)
         self._transport: asyncio.Transport | None = None
+        self._has_received_eof = False
+        self._lingering_close: LingeringClose | None = None  # None until the response is written
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -61,20 +66,44 @@
         self.awaits_request = False
         self._listener.handle(self, request)
 
+    def eof_received(self) -> bool:
+        """Keep the connection open for the response if the client has only shut down its sending side."""
+        self._has_received_eof = True
+        return not self.awaits_request and self._lingering_close is None
+
     def answer(self, response: HttpResponse) -> None:
-        """Send the response; abort the connection unless the client closes it within `CLOSE_TIMEOUT_S`.
+        """Send the response, and close the connection once the client has received it.
 
         Only the first response is sent, as a request may time out while its handler is running.
         """
         self.awaits_request = False
-        self._cancel_timer()
         transport = cast(asyncio.Transport, self._transport)
-        if transport.is_closing():
+        if transport.is_closing() or self._lingering_close is not None:
             return
+        self._cancel_timer()
         self._write(self._exchange.encode(response))
-        # Half-close: a full close with unread data would reset the connection and lose the response.
+        now_s = self._loop.time()
+        self._lingering_close = LingeringClose(now_s, now_s, socket_queues(transport), Acknowledgements())
         transport.write_eof()
-        self._start_timer(CLOSE_TIMEOUT_S, self.abort)
+        self._start_timer(CLOSE_CHECK_INTERVAL_S, self._continue_closing)
+
+    def is_delivered(self) -> bool:
+        """Return whether the response was sent and the client has acknowledged all of it."""
+        if self._transport is None or self._lingering_close is None:
+            return False
+        return socket_queues(self._transport).without_end_of_stream().is_empty
+
+    def _continue_closing(self) -> None:
+        """Close the connection if the client has received the response, or takes too long for it."""
+        transport = cast(asyncio.Transport, self._transport)
+        lingering_close = cast(LingeringClose, self._lingering_close)
+        is_buffered = transport.get_write_buffer_size() > 0
+        queues = socket_queues(transport).without_end_of_stream()
+        decision = lingering_close.decide(self._loop.time(), queues, self._has_received_eof, is_buffered, inf)
+        if decision is CloseDecision.WAIT:
+            self._start_timer(CLOSE_CHECK_INTERVAL_S, self._continue_closing)
+        else:
+            self.abort()
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent data."""
--- a/qos_gateway/server/admin/server.py
+++ b/qos_gateway/server/admin/server.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 from collections.abc import Awaitable, Coroutine
+from itertools import chain
 
 from ..clients.listener import bound_socket
 from ..config import Address
@@ -18,9 +19,12 @@
 log = logging.getLogger(__name__)
 log.addFilter(RateLimitFilter())
 
-# A further connection closes the oldest one, preferably the oldest with an incomplete request.
+# A further connection closes an earlier one, preferably the oldest with an incomplete request.
 MAX_CONNECTIONS = 24
 BACKLOG_CONNECTIONS = 64  # queued by the kernel until the process accepts them
+# At the end of the process, requests are answered and the responses sent within this time.
+STOP_TIMEOUT_S = 1.0
+STOP_CHECK_INTERVAL_S = 0.02
 BIND_RETRY_INTERVAL_S = 0.25  # the previous process may still hold the address
 
 
@@ -50,6 +54,19 @@
             if error.errno == errno.EADDRINUSE or is_transient(error):
                 self._spawn(self._retry_listening())
 
+    async def stop(self) -> None:
+        """Stop listening, answer the requests in progress, and close all connections within a time limit."""
+        if self._server is not None:
+            self._server.close()
+        gives_up_at_s = self._loop.time() + STOP_TIMEOUT_S
+        while self._has_undelivered() and self._loop.time() < gives_up_at_s:
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        self.close()
+
+    def _has_undelivered(self) -> bool:
+        """Return whether a client that has sent its request is still to get all of its response."""
+        return any(not each.awaits_request and not each.is_delivered() for each in self._connections)
+
     def close(self) -> None:
         """Stop listening, cancel the requests in progress, and close all connections."""
         if self._server is not None:
@@ -99,8 +116,10 @@
                 continue
 
     def _close_oldest(self) -> None:
+        """Close the oldest connection with an incomplete request, a delivered response, or any."""
         incomplete = (connection for connection in self._connections if connection.awaits_request)
-        oldest = next(incomplete, next(iter(self._connections)))
+        delivered = (connection for connection in self._connections if connection.is_delivered())
+        oldest = next(chain(incomplete, delivered, self._connections))
         log.warning("admin_connections_exceeded limit=%d action=close_oldest", MAX_CONNECTIONS)
         self.connection_closed(oldest)
         oldest.abort()
--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -116,9 +116,9 @@
             # The engine's timer still reports that this gateway uses no quota. Peers would otherwise reserve
             # its slices, as for a gateway without reports, while they serve its customers.
             await asyncio.sleep(max(0.0, report_until_s - loop.time()))
-        self._close_services()
+        await self._close_services()
 
-    def _close_services(self) -> None:
+    async def _close_services(self) -> None:
         parts, services = self.parts, self.parts.services
         parts.peers.close()
         if parts.memory_monitor is not None:
@@ -126,7 +126,7 @@
         if parts.counter is not None:
             parts.counter.close()
         if services.admin_server is not None:
-            services.admin_server.close()
+            await services.admin_server.stop()
         if services.handover_channel is not None:
             services.handover_channel.close()
 
--- a/tests/server/test_admin.py
+++ b/tests/server/test_admin.py
@@ -3,47 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import pytest
 
 from qos_gateway.server.admin import connection as connection_module
 from qos_gateway.server.admin import server as server_module
 from qos_gateway.server.admin.server import AdminServer
+from tests.support.admin import FakeAdminHandler, admin_server, get_request, post_request
 from tests.support.event_loop import LOOPBACK, run_on_loop, wait_until, with_timeout
 
 
-class FakeAdminHandler:
-    """Records the calls of the admin API, and returns fixed results."""
-
-    def __init__(self) -> None:
-        self.is_accepting = True
-        self.calls: list[tuple[str, bool]] = []
-
-    def accepts_clients(self) -> bool:
-        return self.is_accepting
-
-    def render_metrics(self) -> bytes:
-        return b"a:1|c\n"
-
-    async def set_endpoint_disabled(self, name: str, disabled: bool) -> bool:
-        self.calls.append((name, disabled))
-        if name == "fault":
-            raise RuntimeError("broken")
-        return name == "s-1"
-
-
-@asynccontextmanager
-async def admin_server(handler: FakeAdminHandler) -> AsyncIterator[AdminServer]:
-    server = AdminServer((LOOPBACK, 0), handler)
-    await server.start()
-    try:
-        yield server
-    finally:
-        server.close()
-
-
 async def send_request(port: int, *pieces: bytes) -> tuple[int, bytes]:
     """Send a request in pieces; return the status and body of the response, or status 0 if there is none."""
     reader, writer = await with_timeout(asyncio.open_connection(LOOPBACK, port))
@@ -59,14 +28,6 @@
     return (int(head.split()[1]) if head else 0), body
 
 
-def get_request(path: str) -> bytes:
-    return f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
-
-
-def post_request(path: str, body: bytes) -> bytes:
-    return b"POST %b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b" % (path.encode(), len(body), body)
-
-
 def test_readiness_is_200_only_while_clients_are_accepted() -> None:
     async def test() -> None:
         handler = FakeAdminHandler()
--- a/tests/server/test_momentary_failures.py
+++ b/tests/server/test_momentary_failures.py
@@ -22,7 +22,7 @@
 from qos_gateway.server.gateway import GatewayProcess
 from qos_gateway.server.handover.channel import HandoverChannel
 from qos_gateway.server.networking.transient_errors import RETRY_INTERVAL_S
-from tests.server.test_admin import FakeAdminHandler
+from tests.support.admin import FakeAdminHandler
 from tests.support.configurations import make_config, raw_config
 from tests.support.descriptors import no_descriptors_left
 from tests.support.event_loop import LOOPBACK, listening, run_on_loop, wait_until, with_timeout
