Send the state of an upgrade whole although the old process ends meanwhile

Symptom: a new process got a state that broke off where the old one ended while it was sending it. Cause: the end of the process aborted the connections of the handover channel with what they had buffered. Change: they are closed once their messages are sent, within the 0.5 s in which a new process waits for the state.

--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -128,7 +128,7 @@
         if services.admin_server is not None:
             await services.admin_server.stop()
         if services.handover_channel is not None:
-            services.handover_channel.close()
+            await services.handover_channel.close()
 
     def reconfigure(self, config: Config) -> None:
         """Move to the addresses of discovery and counter in `config`; all other settings need a restart."""
--- a/qos_gateway/server/handover/channel.py
+++ b/qos_gateway/server/handover/channel.py
@@ -49,8 +49,8 @@
         """Forward an admin call to the other process, if one runs; wait briefly for its acknowledgement."""
         await self._open.broadcast_admin_disabled(endpoint, disabled)
 
-    def close(self) -> None:
-        """Close the socket and all connections when this process ends."""
+    async def close(self) -> None:
+        """Close the socket, and all connections once their messages are sent, when this process ends."""
         if self._server is not None:
             self._server.close()
-        self._open.close()
+        await self._open.close()
--- a/qos_gateway/server/handover/connection.py
+++ b/qos_gateway/server/handover/connection.py
@@ -91,6 +91,12 @@
         self._send(message)
         return acknowledged
 
+    def close(self) -> None:
+        """Close after the written messages are sent, without treating it as the end of the other process."""
+        self.state_shared = False
+        if self._transport is not None:
+            self._transport.close()
+
     def abandon(self) -> None:
         """Close immediately, without treating it as the end of the other process."""
         self.state_shared = False
--- a/qos_gateway/server/handover/open_connections.py
+++ b/qos_gateway/server/handover/open_connections.py
@@ -12,6 +12,9 @@
 
 log = logging.getLogger(__name__)
 
+# At the end of the process, written messages are sent within this time. A new process waits as long for them.
+CLOSE_TIMEOUT_S = 0.5
+CLOSE_CHECK_INTERVAL_S = 0.01
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.3  # the sender of an admin call waits 1 s for its response
 
 
@@ -71,7 +74,13 @@
         if unacknowledged:
             log.error("handover_call_unacknowledged endpoint=%d disabled=%s", endpoint, disabled)
 
-    def close(self) -> None:
-        """Close all connections immediately."""
+    async def close(self) -> None:
+        """Close all connections once their messages are sent, within `CLOSE_TIMEOUT_S`."""
+        for connection in list(self.connections):
+            connection.close()
+        loop = asyncio.get_running_loop()
+        gives_up_at_s = loop.time() + CLOSE_TIMEOUT_S
+        while self.connections and loop.time() < gives_up_at_s:
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
         for connection in list(self.connections):
             connection.abandon()
--- a/tests/server/test_handover_channel.py
+++ b/tests/server/test_handover_channel.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import logging
+import socket
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -86,7 +88,7 @@
         assert delegate.ended_count == 0
         other.writer.close()
         await wait_until(lambda: delegate.ended_count == 1)
-        channel.close()
+        await channel.close()
 
     run_on_loop(test)
 
@@ -104,7 +106,7 @@
         with caplog.at_level(logging.ERROR):
             await with_timeout(channel.broadcast_admin_disabled(8, True))
         assert "handover_call_unacknowledged endpoint=8 disabled=True" in caplog.text
-        channel.close()
+        await channel.close()
 
     run_on_loop(test)
 
@@ -125,6 +127,34 @@
         assert "handover_message_invalid" in caplog.text
         await wait_until(lambda: not channel._open.connections)
         assert delegate.ended_count == 0  # the connection transferred no state
-        channel.close()
+        await channel.close()
+
+    run_on_loop(test)
+
+
+class LargeStateDelegate(FakeDelegate):
+    """Has a state that is larger than the buffers of the socket."""
+
+    def capture_state(self) -> HandoverState:
+        return replace(super().capture_state(), endpoint_list={"hosts": ["s" * 100] * 20_000})
+
+
+def test_state_that_is_being_sent_arrives_whole_although_the_old_process_ends(tmp_path: Path) -> None:
+    """It was cut off, and the new process served without it."""
+
+    async def test() -> None:
+        channel = await listening_channel(tmp_path, LargeStateDelegate())
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.setblocking(False)
+            await loop.sock_connect(sock, str(tmp_path / "upgrade-n%2F0.sock"))
+            await loop.sock_sendall(sock, b'{"v": 1, "want": "state"}\n')
+            received = bytearray(await with_timeout(loop.sock_recv(sock, 1)))
+            closing = asyncio.create_task(channel.close())
+            await asyncio.sleep(0.05)  # for as long as an immediate close needs
+            while part := await with_timeout(loop.sock_recv(sock, 1 << 16)):
+                received += part
+            assert len(json.loads(received)["state"]["list"]["hosts"]) == 20_000
+            await with_timeout(closing)
 
     run_on_loop(test)
