Have the soak read slowly across shutdowns, and notice a gateway that closes too early

Change: the fault slow_pipeline accompanies each restart of a schedule, drawn apart so that the other faults of a seed stay as they were: clients keep requests for large values open and read slowly until they see the end. A request that crosses the end of such a connection counts as lost only if it was forwarded, as its client learns of the end behind what it has not read. The broken gateway close_over_unread_replies closes connections at once.

--- a/soak/checks/responses.py
+++ b/soak/checks/responses.py
@@ -63,6 +63,8 @@
     # Later ones are of the client's second sending, which may go to the same gateway.
     forwarded = any(a.gateway == seen.gateway and a.first_byte_at <= end.at for a in attempts)
     waited_s = end.at - seen.sent_at
+    if seen.reads_slowly and not forwarded:
+        return []  # it learned of the end, which the request had crossed, only after reading what came before
     was_read = forwarded or (not end.by_reset and waited_s > CERTAIN_READ_S + slack_s)
     if not was_read and waited_s <= seen.wait_s:
         return []
--- a/soak/clients/request_generator.py
+++ b/soak/clients/request_generator.py
@@ -20,10 +20,11 @@
 class RequestGenerator:
     """Draws requests, and builds their commands."""
 
-    def __init__(self, deployment: Deployment, rng: random.Random) -> None:
+    def __init__(self, deployment: Deployment, rng: random.Random, first_id: int = 1) -> None:
+        """`first_id` keeps the ids apart from those of other generators of the same run."""
         self._deployment = deployment
         self._rng = rng
-        self._last_id = 0
+        self._last_id = first_id - 1
 
     def next_request(self, gateway: int, process: int) -> RequestSeen:
         """Draw a request with an id of its own; `process` is the number of the gateway's process."""
--- a/soak/clients/traffic.py
+++ b/soak/clients/traffic.py
@@ -13,6 +13,7 @@
 from soak.clients.persistent_clients import PersistentClients
 from soak.clients.request_generator import GeneratedCommands, RequestGenerator
 from soak.clients.request_sender import RequestSender
+from soak.clients.slow_pipelines import SlowPipelines
 from soak.gateways import Gateway, GatewayProcess
 from soak.observations import Record, RequestSeen
 from soak.settings import Deployment, Effect
@@ -40,6 +41,7 @@
 NEW_CUSTOMERS_AT_ONCE = 16
 NEW_CUSTOMERS_INTERVAL_S = 0.01
 FIRST_NEW_CUSTOMER = 1_000_000
+SLOW_PIPELINE_FIRST_ID = 1 << 40  # apart from the ids of other requests
 REQUESTS_COMING_AGAIN = 20
 COMES_AGAIN_AFTER_S = 0.15
 IN_CHUNKS_SHARE = 0.1  # of the regular requests
@@ -71,6 +73,10 @@
         self._generator = RequestGenerator(deployment, self._rng)
         self._sender = RequestSender(gateways, record, self._generator, self._rng)
         self._persistent_clients = PersistentClients(self._sender)
+        slow_rng = random.Random(f"slow pipelines {seed}")
+        self._slow_pipelines = SlowPipelines(
+            self._sender, RequestGenerator(deployment, slow_rng, SLOW_PIPELINE_FIRST_ID), slow_rng
+        )
         self._tasks = BackgroundTasks()
         self._next_customer = FIRST_NEW_CUSTOMER
         self._stopped = False
@@ -249,6 +255,12 @@
             self._record.requests.append(again)
             connection.send(again, command)
 
+    async def pipeline_slowly(self, gateway: int, duration_s: float) -> None:
+        """Keep requests for large values open on a few connections, and read the responses slowly."""
+        process = self._process_for_new_connections(gateway)
+        if process is not None:
+            await self._slow_pipelines.run(gateway, process, duration_s)
+
     async def misbehave(self, gateway: int, data: bytes) -> None:
         """Send bytes that are no command, and record how the gateway ends the connection."""
         process = self._process_for_new_connections(gateway)
--- a/soak/fault_injection/clients.py
+++ b/soak/fault_injection/clients.py
@@ -39,6 +39,7 @@
             FaultKind.UNREAD_VALUES: traffic.leave_values_unread,
             FaultKind.NEW_CUSTOMERS: traffic.bring_new_customers,
             FaultKind.COME_AGAIN: lambda gateway, _: traffic.come_again(gateway),
+            FaultKind.SLOW_PIPELINE: traffic.pipeline_slowly,
             **{kind: _crowd(traffic, behavior) for kind, behavior in CROWD_BEHAVIORS.items()},
         }
 
--- a/soak/mutants/__init__.py
+++ b/soak/mutants/__init__.py
@@ -38,6 +38,7 @@
         memory.forget_what_ran,
         processes.crash,
         processes.stop_at_once,
+        processes.close_over_unread_replies,
         processes.wait_for_bad_clients,
         processes.execute_commands_at_once,
         processes.stop_serving,
--- a/soak/mutants/processes.py
+++ b/soak/mutants/processes.py
@@ -8,10 +8,12 @@
 from qos_gateway.server import gateway as gateway_module
 from qos_gateway.server.clients import connection_input, connections
 from qos_gateway.server.clients import timeouts as client_timeouts
+from qos_gateway.server.clients.connection import ClientConnection
 from qos_gateway.server.clients.input_scheduler import InputScheduler
 from qos_gateway.server.endpoints.attempt import Attempt
 from qos_gateway.server.endpoints.connection_pool import ConnectionPool
 from qos_gateway.server.gateway import GatewayProcess
+from qos_gateway.server.observability.close_reasons import CloseReason
 from qos_gateway.server.start_guard import check_start
 from qos_gateway.types import Outcome
 from soak.mutants.patching import always_true, patch
@@ -43,6 +45,16 @@
     patch(GatewayProcess, "stop", stop)
 
 
+def close_over_unread_replies() -> None:
+    """Close a connection at its end, whether or not its replies have arrived."""
+
+    def close(self: ClientConnection, reason: CloseReason) -> None:
+        self._note_end(reason)
+        self._transport.close()
+
+    patch(ClientConnection, "end", close)
+
+
 def wait_for_bad_clients() -> None:
     """Keep a connection with an incomplete command open."""
     patch(client_timeouts, "COMMAND_TIMEOUT_S", UNREACHED_TIMEOUT_S)
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -62,6 +62,7 @@
     ready_at: float = 0.0  # when the client had read the previous response on the connection
     client_closed_at: float | None = None
     connection_end: ConnectionEnd | None = None
+    reads_slowly: bool = False  # the end of its connection comes behind responses that it has not read yet
     is_retried: bool = False  # on the first record and on that of the client's retry
     sent_again_at: float | None = None  # when its client sent it on a new connection after it had left
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -63,6 +63,8 @@
     UNREAD_VALUES = "unread_values"  # hundreds of clients request values, and read none
     NEW_CUSTOMERS = "new_customers"  # one caller at full speed, each request for another customer
     COME_AGAIN = "come_again"  # clients leave, and send the same requests on a new connection
+    # Clients that keep requests for large values open and read slowly, also while their process shuts down.
+    SLOW_PIPELINE = "slow_pipeline"
     # The counter.
     COUNTER_DOWN = "counter_down"
     COUNTER_SLOW = "counter_slow"
@@ -99,8 +101,14 @@
         FaultKind.UNREAD_VALUES,
         FaultKind.NEW_CUSTOMERS,
         FaultKind.COME_AGAIN,
+        FaultKind.SLOW_PIPELINE,
     }
 )
+SHUTDOWNS = frozenset({FaultKind.RESTART, FaultKind.RESTART_SERIES})
+# Faults that accompany each shutdown instead of being drawn by themselves.
+ACCOMPANYING_FAULTS = frozenset({FaultKind.SLOW_PIPELINE})
+SLOW_PIPELINE_LEAD_S = 1.0  # before the shutdown that it accompanies
+SLOW_PIPELINE_DURATION_S = 4.0
 # Faults that are injected at one gateway, as they keep the soak itself busy.
 SINGLE_GATEWAY_FAULTS = frozenset(
     {
@@ -140,16 +148,25 @@
 ) -> list[Fault]:
     """Draw the faults of a run, in the order of their times."""
     rng = random.Random(f"schedule {seed}")
+    drawn_kinds = tuple(kind for kind in kinds if kind not in ACCOMPANYING_FAULTS) or kinds
     faults: list[Fault] = []
     moment = QUIET_START_S
     while moment < duration_s - QUIET_END_S:
         for _ in range(rng.randint(*FAULTS_PER_GROUP)):
             at = moment + rng.uniform(0.0, GROUP_SPREAD_S)
-            faults.append(_draw_fault(rng, rng.choice(kinds), at, gateways, order_servers))
+            faults.append(_draw_fault(rng, rng.choice(drawn_kinds), at, gateways, order_servers))
         moment += GROUP_INTERVAL_S
+    if FaultKind.SLOW_PIPELINE in kinds:
+        faults += [_slow_pipeline(fault) for fault in faults if fault.kind in SHUTDOWNS]
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def _slow_pipeline(shutdown: Fault) -> Fault:
+    """Return the slow readers at the gateways that shut down."""
+    at = max(0.0, shutdown.at - SLOW_PIPELINE_LEAD_S)
+    return Fault(FaultKind.SLOW_PIPELINE, at, SLOW_PIPELINE_DURATION_S, shutdown.targets)
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, at: float, gateways: int, order_servers: int) -> Fault:
     if kind in COUNTER_FAULTS:
         return Fault(kind, at, rng.uniform(MIN_DURATION_S, MAX_DURATION_S), ())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -75,6 +75,12 @@
     return tuple(Fault(kind, at, duration_s, (0,)) for at in (1.0, 4.0))
 
 
+SLOW_PIPELINES_AND_RESTARTS = (
+    fault(KIND.SLOW_PIPELINE, 1.0, 4.0),
+    fault(KIND.RESTART, 2.0),
+    fault(KIND.SLOW_PIPELINE, 5.0, 4.0),
+    fault(KIND.RESTART, 6.0),
+)
 COMING_AGAIN = tuple(fault(KIND.COME_AGAIN, 1.0 + 0.5 * n) for n in range(8))
 REPLACE_ALL = (fault(KIND.REPLACE, 1.0), fault(KIND.REPLACE, 1.4))  # each half of those in service
 
@@ -103,6 +109,7 @@
     "forget_maintenance": (Rule.MAINTENANCE, (fault(KIND.MAINTENANCE, 1.0, 4.0),)),
     "crash": (Rule.CRASH, ()),
     "stop_at_once": (Rule.LOST, (*SLOW_EVERYWHERE, fault(KIND.HANG, 1.6, 2.0), fault(KIND.RESTART, 2.0))),
+    "close_over_unread_replies": (Rule.LOST, SLOW_PIPELINES_AND_RESTARTS),
     "execute_commands_at_once": (Rule.LOST, (fault(KIND.FLOOD, 1.5, 6.0),)),
     "hold_commands_without_limit": (
         Rule.MEMORY,
@@ -203,6 +210,11 @@
     assert verdict.final_share is not None
 
 
+def test_real_gateway_loses_no_answer_of_slow_readers_across_a_shutdown() -> None:
+    (verdict,) = play_all([options(None, SLOW_PIPELINES_AND_RESTARTS)])
+    assert [violation.text for violation in verdict.violations] == []
+
+
 def test_real_gateway_breaks_no_rule_with_large_values_and_little_memory() -> None:
     run = with_little_memory(options(None, (*LARGE_EVERYWHERE, *PIPELINES)))
     (verdict,) = play_all([run])
