Have clients that stop half way make way 0.05 s after their last bytes

Cause: each of them kept its place for 0.25 s, so a client behind several sets of them waited over a second. And the 0.25 s after which a connection is closed unread began before theirs, so that whole batches were closed unread. Change: what counts is the time since the last bytes, 0.05 s. Connections closed unread have a metric, the wait of an accepted connection a debug line. The soak has crowds in a row at 256 descriptors and a broken gateway that waits five times as long.

--- a/qos_gateway/server/clients/connection.py
+++ b/qos_gateway/server/clients/connection.py
@@ -85,7 +85,9 @@
         self._replies = ReplyQueue(self._transport, context.buffers, context.streams, context.memory)
         self.input = ConnectionInput(context, self._replies)
         if self._queued_since_s is not None and self.unread_bytes():
-            self.input.note_queued_since(max(self._queued_since_s, self._connected_at_s()))
+            connected_at_s = self._connected_at_s()
+            log.debug("client_accepted queued_s=%.3f", context.time() - connected_at_s)
+            self.input.note_queued_since(max(self._queued_since_s, connected_at_s))
         self._observer.connection_opened(self)
 
     def _connected_at_s(self) -> float:
@@ -157,12 +159,17 @@
         """
         return now_s - (self.input.reader.partial_since_s if self.has_sent_command else self.idle_since_s)
 
-    def partial_command_age_s(self, now_s: float) -> float:
-        """Return the seconds since an incomplete command began; 0 if others precede it or there is none."""
+    def partial_command_pause_s(self, now_s: float) -> float:
+        """Return the seconds since the last bytes of an incomplete command; 0 if others precede it.
+
+        Since the begin of the command if the system does not report when bytes came, and 0 without one.
+        """
         partial_since_s = self.input.reader.partial_since_s
         if not partial_since_s or self.is_awaiting_replies() or self.input.is_closed:
             return 0.0
-        return now_s - partial_since_s
+        ages = self.socket_ages()
+        age_s = now_s - partial_since_s
+        return age_s if ages is None else min(age_s, ages.last_received_s)
 
     def is_writing_large_value(self) -> bool:
         """Return whether a large value is being written."""
--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -33,8 +33,10 @@
 NEAR_LIMIT_FRACTION = 0.75  # above this fraction of the limit, idle connections are closed sooner
 # A connection is not evicted within this time after it was opened or became idle.
 MIN_IDLE_BEFORE_EVICTION_S = 0.1
-# A connection with an incomplete command is not evicted within this time after the command began.
-MIN_PARTIAL_BEFORE_EVICTION_S = 0.25
+# A connection with an incomplete command is not evicted within this time after its client's last bytes. It is
+# short, as clients with complete requests wait behind it; a client that writes slowly loses no request, as
+# none is taken before its last byte.
+MIN_STOPPED_BEFORE_EVICTION_S = 0.05
 
 
 class ClientConnections:
@@ -73,7 +75,13 @@
         if sock is None:
             self._inherited_descriptor = None
             sock = await retry_transient(self._bind)
-        self._listener = Listener(sock, self._new_connection, self._has_capacity, self.context.stall_detector)
+        self._listener = Listener(
+            sock,
+            self._new_connection,
+            self._has_capacity,
+            self.context.stall_detector,
+            self._count_queue_timeout,
+        )
         self.context.stall_detector.start()
         self.timeout_checker.start()
 
@@ -83,6 +91,9 @@
     def _new_connection(self, queued_since_s: float | None) -> ClientConnection:
         return ClientConnection(self, self.context, queued_since_s)
 
+    def _count_queue_timeout(self) -> None:
+        self.context.close_guard.connection_ended(CloseReason.QUEUE_TIMEOUT)
+
     @property
     def port(self) -> int:
         """The port that clients connect to."""
@@ -140,7 +151,7 @@
             if is_old and client.is_idle() and client.is_delivered():
                 yield client
         for client in clients:
-            is_old = client.partial_command_age_s(now_s) >= MIN_PARTIAL_BEFORE_EVICTION_S
+            is_old = client.partial_command_pause_s(now_s) >= MIN_STOPPED_BEFORE_EVICTION_S
             # Unread bytes may complete the command, unless there is no memory to read them.
             may_read_on = client.has_unread_bytes() and not client.memory_wait_s(now_s)
             if is_old and not may_read_on and not client.unacknowledged_bytes():
--- a/qos_gateway/server/clients/listener.py
+++ b/qos_gateway/server/clients/listener.py
@@ -60,14 +60,20 @@
         protocol_factory: Callable[[float | None], asyncio.BaseProtocol],
         has_capacity: Callable[[], bool],
         stall_detector: LoopStallDetector,
+        on_queue_timeout: Callable[[], None],
     ) -> None:
-        """`protocol_factory` takes the time since which the connection may have been queued, if any."""
+        """Listen on `sock`, and accept while `has_capacity`.
+
+        `protocol_factory` takes the time since which the connection may have been queued, if any.
+        `on_queue_timeout` is called for each connection that is closed unread.
+        """
         sock.setblocking(False)
         sock.listen(BACKLOG)
         self._sock = sock
         self._protocol_factory = protocol_factory
         self._has_capacity = has_capacity
         self._stall_detector = stall_detector
+        self._on_queue_timeout = on_queue_timeout
         # Since when connections may have been queued; None while each is accepted on arrival.
         self._queued_since_s: float | None = 0.0  # an inherited socket may already hold some
         self._loop = asyncio.get_running_loop()
@@ -121,6 +127,7 @@
                 if sock is None:
                     return
                 sock.close()
+                self._on_queue_timeout()
             else:
                 self._pause_accepting()
                 return
--- a/qos_gateway/server/observability/close_reasons.py
+++ b/qos_gateway/server/observability/close_reasons.py
@@ -12,6 +12,7 @@
     HANGUP_SEEN = "hangup_seen"  # the gateway detected the client's close before the event loop did
     IDLE = "idle"
     EVICTED = "evicted"  # closed to admit another connection
+    QUEUE_TIMEOUT = "queue_timeout"  # closed unread, as there was no capacity for it
     DRAINED = "drained"  # closed because it was idle while the process was stopping
     PROTOCOL_ERROR = "protocol_error"  # closed after an error reply
     WRITE_STALLED = "write_stalled"  # the client does not read its replies
--- a/soak/mutants/processes.py
+++ b/soak/mutants/processes.py
@@ -60,6 +60,11 @@
     patch(client_timeouts, "COMMAND_TIMEOUT_S", UNREACHED_TIMEOUT_S)
 
 
+def keep_places_of_stopped_clients() -> None:
+    """Evict clients that stopped in the middle of a command only after others have waited too long."""
+    patch(connections, "MIN_STOPPED_BEFORE_EVICTION_S", 5 * connections.MIN_STOPPED_BEFORE_EVICTION_S)
+
+
 def execute_commands_at_once() -> None:
     """Execute all commands of a client that were read in one turn of the event loop."""
     patch(connection_input, "SLICE_TIME_S", UNREACHED_TIMEOUT_S)
--- a/tests/server/test_connection_ends.py
+++ b/tests/server/test_connection_ends.py
@@ -9,6 +9,7 @@
 import pytest
 
 from qos_gateway.server.clients import connection_closer
+from qos_gateway.server.clients import connections as connections_module
 from qos_gateway.server.networking import lingering_close
 from tests.support.clients import call_command
 from tests.support.event_loop import run_on_loop, wait_until, with_timeout
@@ -49,6 +50,40 @@
     run_on_loop(test)
 
 
+def test_client_that_stopped_half_way_makes_way_soon() -> None:
+    """Clients with complete requests wait for as long as such clients keep their places."""
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            clients = harness.gateway.clients
+            client = await harness.connect_client()
+            client.send(call_command()[:-3])
+            await wait_until(lambda: any(c.input.reader.has_partial_command for c in clients.connections()))
+            clients.max_connections = 1
+            await asyncio.sleep(2 * connections_module.MIN_STOPPED_BEFORE_EVICTION_S)
+            assert clients._has_capacity()
+            assert await client.next_message() is None
+
+    run_on_loop(test)
+
+
+def test_client_that_still_writes_its_command_keeps_its_place(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connections_module, "MIN_STOPPED_BEFORE_EVICTION_S", 5.0)
+
+    async def test() -> None:
+        async with gateway_harness() as harness:
+            clients = harness.gateway.clients
+            client = await harness.connect_client()
+            client.send(call_command()[:-3])
+            await wait_until(lambda: any(c.input.reader.has_partial_command for c in clients.connections()))
+            (connected,) = clients.connections()
+            connected.input.reader.partial_since_s -= 10.0  # its first bytes; the last ones came just now
+            clients.max_connections = 1
+            assert not clients._has_capacity()
+
+    run_on_loop(test)
+
+
 def test_connection_with_unread_remainder_of_a_command_is_not_evicted() -> None:
     async def test() -> None:
         async with gateway_harness() as harness:
--- a/tests/server/test_descriptor_limits.py
+++ b/tests/server/test_descriptor_limits.py
@@ -206,7 +206,11 @@
             sock.bind((LOOPBACK, 0))
             sock.failing_calls = 3 * has_capacity
             gateway_listener = Listener(
-                sock, lambda _: RecordingProtocol(connected), check_capacity, LoopStallDetector()
+                sock,
+                lambda _: RecordingProtocol(connected),
+                check_capacity,
+                LoopStallDetector(),
+                lambda: None,
             )
             waiting = [
                 await with_timeout(asyncio.open_connection(LOOPBACK, gateway_listener.port)) for _ in range(3)
@@ -234,11 +238,17 @@
 
     async def test() -> None:
         with socket.create_server((LOOPBACK, 0)) as sock:
+            closed_unread: list[None] = []
             gateway_listener = Listener(
-                sock, lambda _: RecordingProtocol([]), lambda: False, LoopStallDetector()
+                sock,
+                lambda _: RecordingProtocol([]),
+                lambda: False,
+                LoopStallDetector(),
+                lambda: closed_unread.append(None),
             )
             reader, writer = await with_timeout(asyncio.open_connection(LOOPBACK, gateway_listener.port))
             assert await with_timeout(reader.read()) == b""
+            assert len(closed_unread) == 1
             gateway_listener.close()
             writer.close()
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -81,6 +81,7 @@
     fault(KIND.SLOW_PIPELINE, 5.0, 4.0),
     fault(KIND.RESTART, 6.0),
 )
+CROWDS_IN_A_ROW = tuple(Fault(KIND.HALF_COMMANDS, 1.0 + 0.6 * n, 3.0, (0,)) for n in range(8))
 COMING_AGAIN = tuple(fault(KIND.COME_AGAIN, 1.0 + 0.5 * n) for n in range(8))
 REPLACE_ALL = (fault(KIND.REPLACE, 1.0), fault(KIND.REPLACE, 1.4))  # each half of those in service
 
@@ -110,6 +111,7 @@
     "crash": (Rule.CRASH, ()),
     "stop_at_once": (Rule.LOST, (*SLOW_EVERYWHERE, fault(KIND.HANG, 1.6, 2.0), fault(KIND.RESTART, 2.0))),
     "close_over_unread_replies": (Rule.LOST, SLOW_PIPELINES_AND_RESTARTS),
+    "keep_places_of_stopped_clients": (Rule.LOST, CROWDS_IN_A_ROW),
     "execute_commands_at_once": (Rule.LOST, (fault(KIND.FLOOD, 1.5, 6.0),)),
     "hold_commands_without_limit": (
         Rule.MEMORY,
@@ -132,6 +134,9 @@
     "keep_every_customer",
 }
 CROWD_DESCRIPTORS = 1024
+FEW_DESCRIPTORS = 256
+ENOUGH_MEMORY_MB = 96
+FEW_DESCRIPTORS_MUTANTS = {"keep_places_of_stopped_clients"}
 
 
 def with_little_memory(run: Options, memory_mb: int = LITTLE_MEMORY_MB) -> Options:
@@ -140,8 +145,16 @@
     return replace(run, deployment=replace(drawn, fleet=fleet))
 
 
+def with_few_descriptors(run: Options, memory_mb: int = ENOUGH_MEMORY_MB) -> Options:
+    drawn = deployment()
+    fleet = replace(drawn.fleet, memory_mb=memory_mb, descriptors=FEW_DESCRIPTORS)
+    return replace(run, deployment=replace(drawn, fleet=fleet))
+
+
 def mutant_options(name: str) -> Options:
     run = options(name, EXPECTED[name][1])
+    if name in FEW_DESCRIPTORS_MUTANTS:
+        return with_few_descriptors(run)
     return with_little_memory(run) if name in LITTLE_MEMORY_MUTANTS else run
 
 
@@ -231,6 +244,12 @@
         assert [violation.text for violation in verdict.violations] == []
 
 
+@pytest.mark.parametrize("memory_mb", [LITTLE_MEMORY_MB, ENOUGH_MEMORY_MB])
+def test_real_gateway_breaks_no_rule_while_stopped_clients_take_all_places(memory_mb: int) -> None:
+    (verdict,) = play_all([with_few_descriptors(options(None, CROWDS_IN_A_ROW), memory_mb)])
+    assert [violation.text for violation in verdict.violations] == []
+
+
 def test_real_gateway_breaks_no_rule_with_many_commands_at_once() -> None:
     scenarios = sorted({faults for _, faults in EXPECTED.values() if has_pipelines(faults)}, key=str)
     for verdict in play_all([options(None, faults) for faults in scenarios]):
