Let the new process of an upgrade wait for the address that peers send to

Cause: both processes have the same peer_listen, and the old one holds the socket until its end. Change: with an inherited listening socket an address in use is retried in the background; without one it still ends the start with status 2. Until the old process ends, it alone exchanges messages with the peers. The new test of test_peers.py fails without the change, as its method is new.

--- a/qos_gateway/server/gateway.py
+++ b/qos_gateway/server/gateway.py
@@ -9,7 +9,6 @@
 from .config import Config, keys_requiring_restart
 from .discovery.endpoint_feed import FIRST_LIST_TIMEOUT_S, SOCKET_POLL_INTERVAL_S
 from .memory.process_memory import ProcessMemory
-from .networking.transient_errors import retry_transient
 from .observability.activity_log import ActivityGauges
 from .start_guard import check_start, check_stop
 from .wiring import build_parts
@@ -45,7 +44,8 @@
         """
         parts, services = self.parts, self.parts.services
         if self.config.peer_listen is not None and self.config.settings.may_message:
-            await retry_transient(self._listen_to_peers)
+            is_upgrade = self.config.inherited_descriptor is not None
+            await parts.peers.listen(self.config.peer_listen, may_be_in_use=is_upgrade)
         if services.admin_server is not None:
             await services.admin_server.start()
         parts.discovery.start()
@@ -94,10 +94,6 @@
         while self.parts.discovery.has_unread_data() and loop.time() < give_up_at_s:
             await asyncio.sleep(SOCKET_POLL_INTERVAL_S)
 
-    async def _listen_to_peers(self) -> None:
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self.parts.peers, local_addr=self.config.peer_listen)
-
     async def stop(self) -> None:
         """Answer all requests that were received, then close everything."""
         parts, settings = self.parts, self.config.settings
--- a/tests/server/test_peers.py
+++ b/tests/server/test_peers.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from contextlib import ExitStack
 
 import pytest
 
+from qos_gateway.server import peers as peers_module
 from qos_gateway.server.config import Address, parse
 from qos_gateway.server.gateway import GatewayProcess
 from qos_gateway.server.peers import Peers
@@ -35,6 +38,60 @@
     return made
 
 
+def free_addresses(count: int) -> list[Address]:
+    """Return addresses that are free now."""
+    with ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) for _ in range(count)]
+        for sock in socks:
+            sock.bind((LOOPBACK, 0))
+        return [sock.getsockname() for sock in socks]
+
+
+def test_new_process_of_an_upgrade_takes_the_address_over_once_the_old_one_has_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It ended at its start, as the old process holds the address until its own end."""
+    monkeypatch.setattr(peers_module, "BIND_RETRY_INTERVAL_S", 0.01)
+
+    async def test() -> None:
+        addresses = free_addresses(2)
+        heard_old: list[tuple[int, bytes]] = []
+        heard_new: list[tuple[int, bytes]] = []
+        other, old = await _peers([], addresses, 1), await _peers(heard_old, addresses, 0)
+        new = Peers(
+            tuple(addresses), None, 0, lambda message: heard_new.append((message.sender, message.data))
+        )
+        await new.listen(addresses[0], may_be_in_use=True)
+        new.send(1, b"dropped until the socket is open")
+        other.send(0, b"to the old one")
+        await wait_until(lambda: bool(heard_old))
+        old.close()
+
+        def reach_new() -> bool:
+            other.send(0, b"to the new one")
+            return bool(heard_new)
+
+        await wait_until(reach_new)
+        assert heard_old == [(1, b"to the old one")]
+        assert heard_new[0] == (1, b"to the new one")
+        for each in (other, new):
+            each.close()
+
+    run_on_loop(test)
+
+
+def test_address_in_use_is_an_error_without_an_upgrade() -> None:
+    async def test() -> None:
+        addresses = free_addresses(1)
+        first = await _peers([], addresses, 0)
+        second = Peers(tuple(addresses), None, 0, lambda _: None)
+        with pytest.raises(OSError, match="in use"):
+            await second.listen(addresses[0], may_be_in_use=False)
+        first.close()
+
+    run_on_loop(test)
+
+
 def test_peers_are_recognized_by_address_and_strangers_and_long_messages_are_dropped() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
