--- a/soak/gateways/gateway.py
+++ b/soak/gateways/gateway.py
@@ -37,8 +37,7 @@
         self.process: GatewayProcess | None = None
         self.moved_at: list[float] = []
         self._configuration = ConfigurationFile(setup, position)
-        # Two processes at a time would need the same address for peer messages.
-        shares_socket = not setup.peers and position % SHARED_SOCKET_EVERY == SHARED_SOCKET_EVERY - 1
+        shares_socket = position % SHARED_SOCKET_EVERY == SHARED_SOCKET_EVERY - 1
         self._launcher = ProcessLauncher(setup, position, shares_socket)
         self._record = setup.record
         self._longest_deadline_s = setup.deployment.longest_deadline_s
--- a/soak/mutants/__init__.py
+++ b/soak/mutants/__init__.py
@@ -40,6 +40,7 @@
         processes.stop_at_once,
         processes.close_over_unread_replies,
         processes.wait_for_bad_clients,
+        processes.need_the_peer_address_at_once,
         processes.keep_places_of_stopped_clients,
         processes.execute_commands_at_once,
         processes.stop_serving,
--- a/soak/mutants/processes.py
+++ b/soak/mutants/processes.py
@@ -10,10 +10,12 @@
 from qos_gateway.server.clients import timeouts as client_timeouts
 from qos_gateway.server.clients.connection import ClientConnection
 from qos_gateway.server.clients.input_scheduler import InputScheduler
+from qos_gateway.server.config import Address
 from qos_gateway.server.endpoints.attempt import Attempt
 from qos_gateway.server.endpoints.connection_pool import ConnectionPool
 from qos_gateway.server.gateway import GatewayProcess
 from qos_gateway.server.observability.close_reasons import CloseReason
+from qos_gateway.server.peers import Peers
 from qos_gateway.server.start_guard import check_start
 from qos_gateway.types import Outcome
 from soak.mutants.patching import always_true, patch
@@ -65,6 +67,16 @@
     patch(connections, "MIN_STOPPED_BEFORE_EVICTION_S", 5 * connections.MIN_STOPPED_BEFORE_EVICTION_S)
 
 
+def need_the_peer_address_at_once() -> None:
+    """End at the start of an upgrade, as the old process still holds the address for messages from peers."""
+    listen = Peers.listen
+
+    async def listen_at_once(self: Peers, address: Address, **_: bool) -> None:
+        await listen(self, address, may_be_in_use=False)
+
+    patch(Peers, "listen", listen_at_once)
+
+
 def execute_commands_at_once() -> None:
     """Execute all commands of a client that were read in one turn of the event loop."""
     patch(connection_input, "SLICE_TIME_S", UNREACHED_TIMEOUT_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -112,6 +112,7 @@
     "stop_at_once": (Rule.LOST, (*SLOW_EVERYWHERE, fault(KIND.HANG, 1.6, 2.0), fault(KIND.RESTART, 2.0))),
     "close_over_unread_replies": (Rule.LOST, SLOW_PIPELINES_AND_RESTARTS),
     "keep_places_of_stopped_clients": (Rule.LOST, CROWDS_IN_A_ROW),
+    "need_the_peer_address_at_once": (Rule.CRASH, (fault(KIND.RESTART, 2.0),)),
     "execute_commands_at_once": (Rule.LOST, (fault(KIND.FLOOD, 1.5, 6.0),)),
     "hold_commands_without_limit": (
         Rule.MEMORY,
@@ -136,6 +137,8 @@
 CROWD_DESCRIPTORS = 1024
 FEW_DESCRIPTORS = 256
 ENOUGH_MEMORY_MB = 96
+PEER_MESSAGES_PER_S = 40.0
+PEER_MESSAGES_MUTANTS = {"need_the_peer_address_at_once"}
 FEW_DESCRIPTORS_MUTANTS = {"keep_places_of_stopped_clients"}
 
 
@@ -151,8 +154,15 @@
     return replace(run, deployment=replace(drawn, fleet=fleet))
 
 
+def with_peer_messages(run: Options) -> Options:
+    fleet = replace(deployment().fleet, peer_messages_per_s=PEER_MESSAGES_PER_S)
+    return replace(run, deployment=replace(deployment(), fleet=fleet))
+
+
 def mutant_options(name: str) -> Options:
     run = options(name, EXPECTED[name][1])
+    if name in PEER_MESSAGES_MUTANTS:
+        return with_peer_messages(run)
     if name in FEW_DESCRIPTORS_MUTANTS:
         return with_few_descriptors(run)
     return with_little_memory(run) if name in LITTLE_MEMORY_MUTANTS else run
@@ -228,6 +238,11 @@
     assert [violation.text for violation in verdict.violations] == []
 
 
+def test_real_gateway_with_peer_messages_breaks_no_rule_over_upgrades() -> None:
+    (verdict,) = play_all([with_peer_messages(options(None, (fault(KIND.RESTART, 2.0),)))])
+    assert [violation.text for violation in verdict.violations] == []
+
+
 def test_real_gateway_breaks_no_rule_with_large_values_and_little_memory() -> None:
     run = with_little_memory(options(None, (*LARGE_EVERYWHERE, *PIPELINES)))
     (verdict,) = play_all([run])
