Evict clients that stopped half way and do not read their replies

Cause: a client that neither read its replies nor completed its next command was in no group of evictable ones. Result: tests/server/test_slow_readers.py passes, with a client that stopped half way and reads slowly, which is kept.

--- a/qos_gateway/server/clients/connections.py
+++ b/qos_gateway/server/clients/connections.py
@@ -158,7 +158,8 @@
                 yield client
         for client in clients:
             is_old = now_s - client.idle_since_s >= MIN_IDLE_BEFORE_EVICTION_S
-            may_evict = client.is_half_closed or client.is_idle()
+            has_stopped = client.partial_command_pause_s(now_s) >= MIN_STOPPED_BEFORE_EVICTION_S
+            may_evict = client.is_half_closed or client.is_idle() or has_stopped
             if is_old and may_evict and not client.is_reading_replies(now_s):
                 yield client
 
--- a/tests/server/test_slow_readers.py
+++ b/tests/server/test_slow_readers.py
@@ -12,6 +12,7 @@
 from qos_gateway.server.clients import accept_drain, connection_closer
 from qos_gateway.server.clients import timeouts as client_timeouts
 from qos_gateway.server.clients.connection import ClientConnection
+from qos_gateway.server.clients.connections import MIN_STOPPED_BEFORE_EVICTION_S
 from qos_gateway.server.networking import lingering_close
 from qos_gateway.server.observability.close_reasons import CloseReason
 from qos_gateway.server.observability.invariants import Invariant
@@ -172,7 +173,11 @@
                 served = await leave_replies_unread(harness, client)
                 await client.send(CROSSING_COMMAND[:-3])
                 await wait_until(lambda: served.input.reader.has_partial_command)
-                served.input.reader.partial_since_s -= 1.0
+                while not served.is_reading_replies(clients.time()):
+                    await client.read_some()
+                    await asyncio.sleep(2 * client_timeouts.CHECK_INTERVAL_S)
+                assert served.unacknowledged_bytes()
+                await asyncio.sleep(2 * MIN_STOPPED_BEFORE_EVICTION_S)
                 clients.max_connections = 1
                 assert not clients._has_capacity()
 
