Count the time that the soak's slow readers pause as their own

Cause: what a slow reader has received counted as read at once, though it pauses for as long as reading takes; a large value at 13 kB/s pauses it for seconds. Answers that come later than that were never late, as their time began anew. Change: the answers that are still due count from the end of the pause, no later: stricter for late ones.

--- a/soak/clients/slow_pipelines.py
+++ b/soak/clients/slow_pipelines.py
@@ -93,16 +93,17 @@
         """Process the responses in the data, send as many requests, and pause as long as reading takes."""
         answered = len(self.pending)
         now = self._loop.time()
-        for seen in self.pending:
-            seen.ready_at = now  # the time that reading takes is the client's own
+        pause_s = len(data) / self.bytes_per_s
         super().data_received(data)
         answered -= len(self.pending)
         if now < self._stops_at:
             for _ in range(answered):
                 self._clients.send(self)
+        for seen in self.pending:
+            seen.ready_at = now + pause_s  # the time that reading takes is the client's own
         if self.is_usable():
             self.transport.pause_reading()
-            self._loop.call_later(len(data) / self.bytes_per_s, self._read_on)
+            self._loop.call_later(pause_s, self._read_on)
 
     def _read_on(self) -> None:
         if self.is_usable():
